--- /dev/null
+++ b/tamarindfold/choice.py
@@ -0,0 +1,456 @@
+"""Every decision of the gateway; its settings, events and actions are in tamarindfold/interface.py."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Callable
+from math import ceil, inf, sqrt
+from random import Random
+from typing import Any
+
+from tamarindfold.interface import (
+    Actions, AttemptEnded, BackendEntry, BackendState, Count, CountAnswered, Effect, Event, Fail,
+    FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
+    RequestWithdrawn, Send, Settings,
+)
+
+# ---- tuned constants
+RAISE, FALL = 1.5, 0.5  # a dry slice grows by half (design page); an over-used one loses half of its growth
+ROOM, SPENT = 0.9, 0.25  # of the burst: a fuller shared store has room for all; an emptier one is over-used
+RESERVE = 0.1  # of the slice's burst: what only marked retries may take
+NO_SHOW_MS = 2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
+SECOND_MS, NAME_TTL_MS = 1000.0, 60_000.0  # how often a slice may grow; the longest life of a counter's name
+OLD_NEWS = 0.15  # of the quota's rate: how fast a told store is believed to refill, when asking is free
+DRIFT = 0.5  # of the burst: a count this far from the store is put right by a call of its own
+LUMP, CROWDED = 0.08, 0.4  # of the burst: reported at once; calling less freely leaves calls out by chance
+ASK_FIRST, ASK_LEAST = 0.5, 0.01  # how freely the counter is called: at start, at least
+ASK_LESS, ASK_MORE = 0.7, 0.04  # what a late and a prompt answer do to that
+LATE_ANSWER = 0.8  # of the counter's time-out: an answer this slow is a sign of a crowded counter
+KEEP, LEARN = 0.9, 0.01  # weight of the past in moving means; how far an answer moves what a class takes
+BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend, toward what
+FORGIVE_MS, TOUCHES = 3000.0, 2.0  # a sign fades to a third in this time, or in so many times between signs
+TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
+NEAR, LOOK = 5, 16  # backends that a gateway keeps to, so that it knows them; and compares for one send
+COLD_PART = 0.8  # of the work that would push over a cold backend of the least speed, all gateways together
+RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
+PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
+SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
+RESOLVE = 16.0  # how sharply sends thin out while the forecast passes the patience
+
+
+class Slowness:
+    """Time taken over time expected: the one measure of health, of a backend for a class or of the fleet."""
+
+    def __init__(self) -> None:
+        self.value, self.at, self.memory_ms = 1.0, -inf, FORGIVE_MS
+
+    def now(self, now: float, usual: float = 1.0) -> float:
+        """Forgotten as its last sign ages, by how often signs come, until what is usual is believed."""
+        return usual + (self.value - usual) * 3 ** ((self.at - now) / self.memory_ms)
+
+    def sign(self, now: float, value: float, weight: float, usual: float = 1.0) -> None:
+        """Take in a sign, bad or good; a rare one weighs as much as the many it stands for."""
+        weight = max(weight, min(BLAME, 1 - 3 ** ((self.at - now) / self.memory_ms)))
+        self.value = self.now(now, usual) + (value - self.now(now, usual)) * weight
+        gap, self.at = now - max(self.at, now - NAME_TTL_MS), now
+        self.memory_ms = max(FORGIVE_MS, TOUCHES * gap) if gap < NAME_TTL_MS else FORGIVE_MS
+
+
+class Customer:
+    """One customer's slice of its quota here, and the virtual queue of those it was refused for."""
+
+    def __init__(self, plan: Plan, width: int, now: float, number: int = 0, debt: float = 0.0) -> None:
+        self.plan, self.even, self.number = plan, 1 / width, number
+        self.share, self.tokens = self.even, plan.burst * self.even
+        self.cap_tokens = 0.0  # a restarted gateway cannot know what it spent of the ceiling
+        self.filled_at = self.end_of_queue_time = now
+        self.appointments: deque[float] = deque()
+        self.answers, self.unit_sum, self.unit_squares = 0, 0.0, 0.0
+        self.debt = debt  # own use that is not counted yet; below nought: counted, but not used
+        self.store, self.told_at = plan.burst, -inf  # the shared store as the counter's last answer showed it
+        self.followed_at, self.dry = now, False
+
+    def refill(self, now: float) -> None:
+        """Fill bucket and ceiling for the time gone by."""
+        gone, self.filled_at, plan = (now - self.filled_at) / 1000, now, self.plan
+        self.tokens = min(plan.burst * self.share, self.tokens + gone * plan.rate * self.share)
+        cap = plan.ceiling_burst * self.even
+        self.cap_tokens = min(cap, self.cap_tokens + gone * plan.ceiling_rate * self.even)
+
+    def return_time(self, now: float, units: float, no_show: float) -> float:
+        """DIBA (the paper's Algorithm 6): how long the refused client is to stay away."""
+        while self.appointments and self.appointments[0] <= now - no_show:
+            self.appointments.popleft()  # kept, or never will be
+        mean = self.unit_sum / self.answers if self.answers else units
+        variance = self.unit_squares / self.answers - mean * mean if self.answers >= 2 else 0.0
+        fill = self.plan.rate * self.share if self.plan.rate else mean
+        desired_return_rate = fill / mean * (1 + sqrt(max(0.0, variance)) / mean)
+        queue_interval = 1000 / desired_return_rate
+        client_wait_duration = queue_interval * (len(self.appointments) + 1)
+        self.end_of_queue_time = max(self.end_of_queue_time, now)
+        if now + client_wait_duration - self.end_of_queue_time < queue_interval:
+            back_at = now + client_wait_duration
+            self.end_of_queue_time = max(self.end_of_queue_time, back_at)
+        else:
+            back_at = self.end_of_queue_time = self.end_of_queue_time + queue_interval
+        self.appointments.append(back_at)
+        return back_at - now
+
+    def follow(self, now: float, over: bool) -> None:
+        """Each second: a dry slice of a customer under quota grows, that of one over it falls back."""
+        if now - self.followed_at >= SECOND_MS:
+            grows = self.dry and self.store > ROOM * self.plan.burst
+            fallen = max(self.even, self.share - (self.share - self.even) * FALL)
+            self.share = fallen if over else min(1.0, self.share * RAISE) if grows else self.share
+            self.followed_at, self.dry = now, False
+
+    def room(self, now: float, asking: float) -> float:
+        """The chance that a try beyond the bucket still finds its units in the shared store."""
+        believed = self.store + OLD_NEWS * asking * (now - self.told_at) / 1000 * self.plan.rate
+        return believed / (ROOM * self.plan.burst)
+
+    def told(self, now: float, before: float, use: float, age_ms: float) -> float:
+        """One answer tells the shared store by itself; gives what a store that ran over lacks in the name."""
+        plan = self.plan
+        level, full = plan.burst - before + age_ms / 1000 * plan.rate, plan.burst
+        if before < 0.01:  # a fresh or lost name: what was missing still is
+            full = min(full, self.store + (now - self.told_at) / 1000 * plan.rate)
+        self.store, self.told_at = min(full, level) - use, now
+        part = self.store * self.share if self.store > ROOM * plan.burst else 0.0
+        self.tokens = max(part, min(self.tokens, self.store)) - max(0.0, self.debt)
+        self.follow(now, self.store < SPENT * plan.burst)
+        return max(0.0, level - full)
+
+
+Sent = tuple[float, float, float, int]  # an attempt that is out: when, work, pile it met, class
+
+
+class Backend:
+    """What this gateway knows of one backend."""
+
+    def __init__(self, entry: BackendEntry, classes: int) -> None:
+        self.entry, self.load = entry, 0.0  # work outstanding from here
+        self.out: dict[tuple[int, int], Sent] = {}
+        self.slowness = [Slowness() for _ in range(classes)]
+        self.cold_turn, self.cold_left = -1.0, 0.0  # the work it may still get in this window
+
+    def warmth(self, now: float, settings: Settings) -> float:
+        """The part of its capacity that is guaranteed at this time since its start."""
+        age = now - self.entry.up_since_ms
+        if not self.entry.up_since_ms or age >= settings.cold_ms:
+            return 1.0
+        return settings.start_capacity + (1 - settings.start_capacity) * max(0.0, age / settings.cold_ms)
+
+class Call:
+    """A request not yet answered: what has been tried and what may have run."""
+
+    def __init__(self, event: RequestArrived, cls: RequestClass, customer: Customer, now: float,
+                 work: float) -> None:
+        self.event, self.cls, self.customer, self.work = event, cls, customer, work
+        self.give_up, self.aim = now + event.time_left_ms, now + min(cls.aim_ms, event.time_left_ms)
+        self.tried: list[Backend] = []
+        self.may_have_run = False
+        self.ran_group: tuple[Group, int] | None = None
+        self.ran_until = inf
+
+
+class Gateway:
+    """Decides for one gateway; hand it every event and carry out the actions it gives back."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.random = settings, Random(seed)
+        self.counting = settings.counter and not settings.meter_ms
+        self.backends: dict[int, Backend] = {}
+        self.customers: dict[int, Customer] = {}
+        self.counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}  # calls not answered
+        self.calls: dict[int, Call] = {}
+        self.rings: dict[tuple[Group, int], list[int]] = {(Group.ALL, 0): []}  # ready backends, by group
+        self.slowness = Slowness()  # of the fleet as a whole
+        self.asking, self.retries = ASK_FIRST, RETRY_MOST
+        self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
+        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+        self.actions: Actions = []
+        self.handlers: dict[type, Callable[[float, Any], None]] = {
+            RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
+            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn}
+
+    def handle(self, now: float, event: Event) -> Actions:
+        """Take in one event; the actions are to be carried out in order."""
+        self.actions = []
+        if handler := self.handlers.get(type(event)):
+            handler(now, event)
+        return self.actions
+
+    def withdrawn(self, now: float, event: RequestWithdrawn | AttemptEnded) -> None:
+        self.calls.pop(event.request, None)
+
+    # ---- quotas: the ordinary path
+
+    def customer(self, now: float, event: RequestArrived) -> Customer:
+        """The customer of a request; one idle for a name's life is dropped: a fresh one does as well."""
+        known = self.customers.pop(event.customer, None)
+        if known is None:
+            plan, width = self.settings.plans[event.plan], max(1, min(event.width, self.settings.gateways))
+            debt = -self.random.random() * LUMP * plan.burst  # so that rare reports are right on average
+            known = Customer(plan, width, now, event.customer, debt)
+        self.customers[event.customer] = known  # the longest unseen stand first
+        known.refill(now)
+        first, oldest = next(iter(self.customers.items()))
+        if now - oldest.filled_at > NAME_TTL_MS:
+            del self.customers[first]
+        return known
+
+    def arrived(self, now: float, event: RequestArrived) -> None:
+        """The bucket decides; what it cannot tell is asked, what it refuses gets a return time."""
+        customer, marks = self.customer(now, event), self.settings.marks_retry
+        plan, work = customer.plan, self.unit_ms[event.cls] * max(event.units, 0.01)
+        call = self.calls[event.request] = Call(event, self.settings.classes[event.cls], customer, now, work)
+        if event.retry and marks and customer.appointments:
+            customer.appointments.popleft()
+        self.retries = min(RETRY_MOST, self.retries + RETRY_PART)
+        room = not plan.ceiling_rate or customer.cap_tokens >= event.units
+        kept = RESERVE * plan.burst * customer.share if marks and not event.retry else 0.0
+        if room and (not plan.rate or customer.tokens - kept >= event.units):
+            return self.admit(now, call, True)
+        customer.dry = True
+        if room and plan.over_worth > plan.over_cost:
+            return self.admit(now, call, plan.burst * customer.share < event.units)
+        if not room or self.random.random() >= customer.room(now, self.asking):
+            return self.refuse(now, call)  # told to be empty
+        answered_by = now + self.settings.counter_timeout_ms + 2 * self.settings.tick_ms
+        free = self.counting and self.random.random() * CROWDED < self.asking
+        if free and customer.debt + event.units > 0 and answered_by < call.give_up:
+            customer.debt += event.units  # hold the try and ask for its units, one try a lump
+            return self.settle(now, customer, call)
+        if self.counting or customer.tokens >= plan.burst * customer.share:
+            return self.admit(now, call, True)  # a full bucket does, or a large request never would pass
+        self.refuse(now, call)
+
+    def admit(self, now: float, call: Call, inside: bool, counted: bool = False) -> None:
+        """Send what the quota lets pass, unless the fleet is pressed."""
+        event, customer = call.event, call.customer
+        backend = self.choose(now, call, self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE))
+        if backend is None:
+            customer.debt -= event.units if counted else 0.0
+            return self.refuse(now, call)
+        customer.cap_tokens -= event.units if customer.plan.ceiling_rate else 0.0
+        if inside and not counted:
+            customer.tokens -= event.units
+            customer.debt += event.units
+            self.settle(now, customer)
+        self.send(now, call, backend)
+
+    def refuse(self, now: float, call: Call) -> None:
+        """Final answer: the client is told when to come back."""
+        wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
+        self.actions.append(Refuse(call.event.request, wait))
+        self.calls.pop(call.event.request, None)
+
+    # ---- what the counter knows of a customer
+
+    def settle(self, now: float, customer: Customer, call: Call | None = None) -> None:
+        """Report own use, or take back what was counted in vain, in whole lumps."""
+        lump = LUMP * customer.plan.burst
+        lumps = ceil(customer.debt / lump) * lump if lump and self.counting else 0.0
+        if lumps and (call or self.random.random() * CROWDED < self.asking):
+            customer.debt -= lumps
+            self.count(customer, now, lumps, 0.0, call)
+
+    def count(self, customer: Customer, now: float, use: float, drift: float, call: Call | None) -> None:
+        """Call the counter: for use (a held try's units among it), or to put the name right by drift."""
+        name, _ = self.name(now, customer)
+        self.counts.setdefault(name, deque()).append((customer, use, drift, call))
+        self.actions.append(Count(name, use + drift, NAME_TTL_MS))
+
+    def name(self, now: float, customer: Customer) -> tuple[int, float]:
+        """The customer's name of this minute and its age; customers change theirs at different moments."""
+        turn, age = divmod(now + customer.number * 2654435761 % 2**32 / 2**32 * NAME_TTL_MS, NAME_TTL_MS)
+        return int(turn) << 33 | customer.number, age
+
+    def count_answered(self, now: float, event: CountAnswered) -> None:
+        """Guards against a slow, full or lost counter: never add twice, ask less, hold what was told."""
+        if not (asked := self.counts.get(event.name)):
+            return
+        customer, use, drift, call = asked.popleft()
+        if not asked:
+            del self.counts[event.name]
+        answered = event.outcome is Outcome.OK
+        prompt = answered and event.elapsed_ms < LATE_ANSWER * self.settings.counter_timeout_ms
+        self.asking = min(1.0, self.asking + ASK_MORE) if prompt else max(ASK_LEAST, self.asking * ASK_LESS)
+        held = call if call and call.event.request in self.calls else None
+        name, age = self.name(now, customer)
+        if not answered or name != event.name:
+            if event.outcome.never_ran:
+                customer.debt += use - (call.event.units if call else 0.0)
+            if held:
+                self.admit(now, held, True, not event.outcome.never_ran)
+            return
+        customer.refill(now)
+        gain = customer.told(now, event.total - use - drift, use, age) - drift
+        granted = held is not None and customer.store + use >= held.event.units
+        # what is beyond the quota takes nothing from the store, so it is given back
+        beyond = use if call and not granted else min(max(use, 0.0), max(0.0, -customer.store))
+        customer.debt, customer.store = customer.debt - beyond, customer.store + beyond
+        if held:
+            self.admit(now, held, True, True) if granted else self.refuse(now, held)
+        if customer.debt <= 0:
+            self.settle(now, customer)
+        if abs(gain) > DRIFT * customer.plan.burst:  # of two gateways that put it right the later takes back
+            self.count(customer, now, min(gain, 0.0), max(gain, 0.0), None)
+
+    # ---- backends
+
+    def fleet(self, now: float, event: FleetUpdate) -> None:
+        """Follow the list; what it does not name as ready gets nothing new from this moment on."""
+        if event.kind in (ListKind.FULL, ListKind.CACHED):
+            named = {entry.backend: entry for entry in event.entries}
+            for gone in [n for n in self.backends if n not in named]:
+                self.place(self.backends.pop(gone).entry, False)
+        for entry in event.entries:
+            if (known := self.backends.pop(entry.backend, None)) is not None:
+                self.place(known.entry, False)
+            if known is None or entry.up_since_ms > known.entry.up_since_ms:
+                known = Backend(entry, len(self.unit_ms))
+            known.entry = entry
+            if entry.state is not BackendState.GONE:
+                self.backends[entry.backend] = known
+                self.place(entry, entry.state is BackendState.READY)
+
+    def place(self, entry: BackendEntry, ready: bool) -> None:
+        """Keep the rings of ready backends, for each group that drops its repeats."""
+        for key in ((Group.ALL, 0), (Group.ZONE, entry.zone), (Group.CELL, entry.cell)):
+            ring = self.rings.setdefault(key, [])
+            at = bisect_left(ring, entry.backend)
+            there = ring[at:at + 1] == [entry.backend]
+            ring[at:at + there] = [entry.backend] * ready
+
+    def patience(self, number: int) -> float:
+        """The wait that this class may meet: long-aimed cheap work must not fill a pressed fleet."""
+        classes = self.settings.classes
+        worth = [c.worth / ms for c, ms in zip(classes, self.unit_ms, strict=True)]
+        aim = min(c.aim_ms for c, w in zip(classes, worth, strict=True) if w >= worth[number])
+        return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth[number] / max(worth))
+
+    def pile(self, now: float, backend: Backend) -> float:
+        """What stands there from here and a request more, as a warm backend of size one would feel it."""
+        able = self.mean_work * (backend.entry.size or 1) * backend.warmth(now, self.settings)
+        return 1 + backend.load / able
+
+    def width(self, ready: int) -> int:
+        """How many backends this gateway keeps to: each is kept to by NEAR gateways at least."""
+        return min(ready, max(NEAR, ceil(ready * NEAR / self.settings.gateways)))
+
+    def near(self, call: Call) -> list[Backend]:
+        """This gateway's part of the ready backends, or of the group that drops a repeat."""
+        ring = self.rings.get(call.ran_group or (Group.ALL, 0), [])
+        width, start = self.width(len(ring)), self.settings.index * len(ring) // self.settings.gateways
+        picked = range(width) if width <= LOOK else self.random.sample(range(width), LOOK)
+        return [self.backends[ring[(start + i) % len(ring)]] for i in picked]
+
+    def forecast(self, now: float, backend: Backend, call: Call) -> float:
+        """Expected time of a send to this backend; silence bounds it from below."""
+        drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
+        sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
+        return max(call.work * drag * self.pile(now, backend), now - sent_at - own)
+
+    def cold_room(self, now: float, backend: Backend, work: float) -> bool:
+        """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
+        # it does one request at a time at least; a part below one request is rounded by chance
+        s, warmth, ready = self.settings, backend.warmth(now, self.settings), len(self.rings[Group.ALL, 0])
+        if warmth < 1 and backend.cold_turn != now // s.overload_ms:
+            backend.cold_turn = now // s.overload_ms
+            users = max(1.0, s.gateways * self.width(ready) / max(1, ready))
+            budget = COLD_PART * s.fall_multiple * warmth * s.overload_ms / users
+            backend.cold_left = budget + self.random.random() * self.mean_work
+        return warmth >= 1 or backend.cold_left >= work
+
+    def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
+        """The backend with the least expected delay, at random among near ties; None: refuse."""
+        near = [b for b in self.near(call) if self.cold_room(now, b, call.work)]
+        rated = [(self.forecast(now, b, call), b) for b in near if b not in call.tried or len(near) == 1]
+        if not rated:
+            return None
+        least = min(f for f, _ in rated)
+        best = self.random.choice([b for f, b in rated if f <= least * TIE])
+        fleet = self.slowness.now(now)  # one bad backend is no sign of a pressed fleet
+        drag = min(fleet, best.slowness[call.event.cls].now(now, fleet))
+        wait = drag * self.mean_work * self.pile(now, best)
+        late = (wait + call.work - self.mean_work) / max(1.0, call.aim - now) if patience < inf else 0.0
+        over = max(1.0, wait / patience, late)
+        return best if self.random.random() <= over ** -RESOLVE else None
+
+    def group(self, backend: Backend, cls: RequestClass) -> tuple[Group, int]:
+        """The backends that drop each other's repeats of this class."""
+        entry = backend.entry
+        return cls.group, {Group.ALL: 0, Group.ZONE: entry.zone, Group.CELL: entry.cell}[cls.group]
+
+    # ---- attempts
+
+    def send(self, now: float, call: Call, backend: Backend) -> None:
+        """Start an attempt and remember what it may do."""
+        pile = self.pile(now, backend)
+        backend.out[call.event.request, len(call.tried)] = now, call.work, pile, call.event.cls
+        backend.load += call.work
+        backend.cold_left -= call.work
+        self.mean_work += (call.work - self.mean_work) * (1 - KEEP) / 2
+        call.tried.append(backend)
+        self.actions.append(Send(call.event.request, backend.entry.backend))
+
+    def ended(self, now: float, event: AttemptEnded) -> None:
+        """Learn from the outcome, then answer the request or try again as far as its class allows."""
+        backend = self.backends.get(event.backend)
+        known = backend.out.pop((event.request, event.attempt), None) if backend else None
+        call = self.calls.get(event.request)
+        if backend and known:
+            backend.load = max(0.0, backend.load - known[1]) if backend.out else 0.0
+            self.learn(now, backend, event, known)
+        if call is None:
+            return
+        if event.used_percent is not None:  # the site has a meter: it takes the counter's place
+            call.customer.follow(now, event.used_percent >= 100)
+        if event.outcome is Outcome.OK:
+            units = event.true_units or call.event.units
+            call.customer.answers += 1
+            call.customer.unit_sum += units
+            call.customer.unit_squares += units * units
+            call.customer.tokens -= units - call.event.units
+            call.customer.debt += units - call.event.units
+        if event.over:
+            return self.withdrawn(now, event)
+        if not event.outcome.never_ran:
+            call.may_have_run = True
+            if call.cls.effect is Effect.KEYED and call.ran_group is None:
+                call.ran_group = self.group(call.tried[event.attempt], call.cls)
+                call.ran_until = now - event.elapsed_ms + call.cls.window_ms
+        self.again(now, call)
+
+    def again(self, now: float, call: Call) -> None:
+        """The one table of further attempts: by effect, and by what may have run."""
+        safe, keyed = call.cls.effect is Effect.SAFE, call.cls.effect is Effect.KEYED
+        harmless = safe or not call.may_have_run
+        allowed = harmless or (keyed and now < call.ran_until - 1)
+        refusable = harmless or (keyed and call.cls.group is Group.ALL)
+        more = len(call.tried) < self.settings.max_attempts and now < call.give_up - self.settings.tick_ms
+        if allowed and more and self.retries >= 1 and (backend := self.choose(now, call)) is not None:
+            self.retries -= 1
+            return self.send(now, call, backend)
+        if refusable:
+            return self.refuse(now, call)
+        self.actions.append(Fail(call.event.request))
+        self.calls.pop(call.event.request, None)
+
+    def learn(self, now: float, backend: Backend, event: AttemptEnded, sent: Sent) -> None:
+        """Every kind of sign moves one measure; what came of a request's run tells of its class only."""
+        _, work, pile, cls = sent
+        took = event.elapsed_ms / pile / work
+        fleet = self.slowness.now(now)
+        if event.outcome is Outcome.OK:
+            backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
+            self.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+            own = event.outcome in (Outcome.ERROR, Outcome.TIMEOUT)  # it may fail just this class
+            for c in [cls] if own else range(len(self.unit_ms)):
+                backend.slowness[c].sign(now, max(DREAD, took), BLAME, fleet)
+        if event.outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
+            self.slowness.sign(now, DREAD / 2 if event.outcome is Outcome.FULL else took, 1 - KEEP)
--- /dev/null
+++ b/tamarindfold/interface.py
@@ -0,0 +1,348 @@
+"""What a gateway is told and what it may do: settings, events, actions. All times are milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+from enum import Enum, IntEnum
+
+BackendId = int
+
+
+class Outcome(IntEnum):
+    """How an attempt, a probe or a counter call ended."""
+
+    OK = 1
+    ERROR = 2
+    FULL = 3
+    TIMEOUT = 4
+    CONNECT_FAILED = 5
+    RESET = 6
+    CANCELLED = 7
+    MOOT = 8
+
+    @property
+    def never_ran(self) -> bool:
+        """True where the outcome proves that the backend did not run the request."""
+        return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+
+
+class Effect(Enum):
+    """What running a request twice would do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """Which backends drop each other's repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class ListKind(IntEnum):
+    """What a fleet update holds."""
+
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class BackendState(IntEnum):
+    """What the list of backends knows of one."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+# ---- settings
+
+
+def _check(what: object, at_least: dict[str, float]) -> None:
+    """Raise ValueError naming the first field that is not a number of at least the given size."""
+    for name, least in at_least.items():
+        value = getattr(what, name)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < float("inf"):
+            raise ValueError(f"{type(what).__name__}.{name}: {value!r} is not a number of at least {least:g}")
+
+
+def _check_types(what: object, kinds: dict[str, type]) -> None:
+    for name, kind in kinds.items():
+        value = getattr(what, name)
+        if not isinstance(value, kind):
+            raise ValueError(f"{type(what).__name__}.{name}: {value!r} is not a {kind.__name__}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A kind of request."""
+
+    aim_ms: float
+    deadline_ms: float
+    worth: float
+    effect: Effect
+    group: Group = Group.ALL
+    window_ms: float = 0.0
+    late_worth: float = 0.0
+    name: str = ""
+
+    def __post_init__(self) -> None:
+        _check(self, {"aim_ms": 1e-3, "deadline_ms": 1e-3, "worth": 0, "window_ms": 0, "late_worth": 0})
+        _check_types(self, {"effect": Effect, "group": Group})
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a customer of this plan may use over all gateways; 0 means no such limit."""
+
+    rate: float
+    burst: float
+    open_limit: int = 0
+    price: float = 1.0
+    over_worth: float = 0.0
+    over_cost: float = 0.0
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
+    name: str = ""
+
+    def __post_init__(self) -> None:
+        _check(self, {f.name: 0 for f in fields(self) if f.name != "name"})
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The deployment as one gateway is told it at start."""
+
+    gateways: int
+    index: int
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    max_attempts: int
+    start_capacity: float
+    cold_ms: float
+    fall_multiple: float
+    overload_ms: float
+    drain_grace_ms: float
+    answer_grace_ms: float = 0.0
+    zone: int = 0
+    tick_ms: float = 1.0
+    most_units: float = 1.0
+    marks_retry: bool = False
+    retry_after: bool = True
+    max_retry_after_ms: float = 0.0
+    second_copies: bool = False
+    cancel: bool = False
+    probes: bool = False
+    peers: bool = False
+    peer_in_per_s: float = 0.0
+    counter: bool = False
+    counter_timeout_ms: float = 0.0
+    counter_price: float = 0.0
+    meter_ms: float = 0.0
+    settled_after: bool = False
+    report_fields: tuple[str, ...] = ()
+
+    def __post_init__(self) -> None:
+        _check(self, {"gateways": 1, "index": 0, "max_attempts": 1, "start_capacity": 1e-6, "cold_ms": 0,
+                      "fall_multiple": 1e-6, "overload_ms": 1e-3, "drain_grace_ms": 0, "answer_grace_ms": 0,
+                      "zone": 0, "tick_ms": 0, "most_units": 1e-6, "max_retry_after_ms": 0, "meter_ms": 0,
+                      "peer_in_per_s": 0, "counter_timeout_ms": 0, "counter_price": 0})
+        if self.index >= self.gateways:
+            raise ValueError(f"Settings.index: {self.index} is not below gateways ({self.gateways})")
+        for name in ("classes", "plans"):
+            if not getattr(self, name):
+                raise ValueError(f"Settings.{name}: at least one is needed")
+
+
+# ---- events
+
+
+@dataclass(slots=True)
+class BackendEntry:
+    """One line of the list of backends; up_since_ms 0 means long ago."""
+
+    backend: BackendId
+    state: BackendState = BackendState.READY
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    size: float = 1.0
+    up_since_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class FleetUpdate:
+    """News from the list of backends."""
+
+    kind: ListKind
+    entries: list[BackendEntry]
+    version: int = 0
+
+
+@dataclass(slots=True)
+class RequestArrived:
+    """A client's try; the gateway owes it one final answer within time_left_ms."""
+
+    request: int
+    customer: int
+    plan: int
+    cls: int
+    units: float
+    first_gateway: int
+    width: int
+    time_left_ms: float
+    retry: bool = False
+
+
+@dataclass(slots=True)
+class AnswerBegan:
+    """A streamed answer has begun; from now on it is the client's."""
+
+    request: int
+    attempt: int
+    backend: BackendId
+    elapsed_ms: float
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    """The one outcome of an attempt; over: the request is concluded."""
+
+    request: int
+    attempt: int
+    backend: BackendId
+    outcome: Outcome
+    elapsed_ms: float
+    over: bool
+    used_percent: float | None = None
+    true_units: float = 0.0
+    report: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class RequestWithdrawn:
+    """The client left; nothing more is owed."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class TimerFired:
+    """A timer set earlier is due."""
+
+    label: int
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    """What one probe found."""
+
+    backend: BackendId
+    outcome: Outcome
+    elapsed_ms: float
+    report: tuple[float, ...] = ()
+
+
+@dataclass(slots=True)
+class PeerMessage:
+    """Bytes from another gateway."""
+
+    sender: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class CountAnswered:
+    """The answer to one counter call; total is valid with OK."""
+
+    name: int
+    outcome: Outcome
+    elapsed_ms: float
+    total: float
+
+
+Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
+         | ProbeEnded | PeerMessage | CountAnswered)
+
+
+# ---- actions
+
+
+@dataclass(slots=True)
+class Send:
+    """Start an attempt; timeout_ms 0: until the client gives up."""
+
+    request: int
+    backend: BackendId
+    timeout_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Cancel:
+    """Stop waiting for an attempt."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: refused, coming back is harmless."""
+
+    request: int
+    retry_after_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: failed, nothing is promised."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class SetTimer:
+    """Ask for TimerFired after so long."""
+
+    after_ms: float
+    label: int
+
+
+@dataclass(slots=True)
+class Probe:
+    """Examine a backend."""
+
+    backend: BackendId
+
+
+@dataclass(slots=True)
+class Tell:
+    """Send bytes to one gateway, or to all others (None)."""
+
+    gateway: int | None
+    body: bytes
+
+
+@dataclass(slots=True)
+class Count:
+    """Add to a named number of the shared counter and learn its total."""
+
+    name: int
+    amount: float
+    ttl_ms: float
+
+
+@dataclass(slots=True)
+class Log:
+    """A line for the operators; rare state changes only."""
+
+    text: str
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Tell | Count | Log
+Actions = list[Action]
--- /dev/null
+++ b/tamarindfold/wire.py
@@ -0,0 +1,286 @@
+"""The simulator's binary wire: frames, records and the settings text."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from struct import Struct
+from typing import Any
+
+from tamarindfold.interface import (
+    Action, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
+    Event, Fail, FleetUpdate, Group, ListKind, Log, Outcome, PeerMessage, Plan, Probe, ProbeEnded, Refuse,
+    RequestArrived, RequestClass, RequestWithdrawn, Send, SetTimer, Settings, Tell, TimerFired,
+)
+
+
+class WireError(ValueError):
+    """Malformed input: what is wrong and where."""
+
+
+PROVISION, STOPPED = 1000, 1080
+BATCH_HEAD = Struct("<IdI")
+REPLY_HEAD = Struct("<I")
+RECORD = Struct("<HI")
+INSTANCE = Struct("<I")
+_PROVISION = Struct("<IQI")
+_VIEW = Struct("<IBQI")
+_ENTRY = Struct("<IHHHHBfd")
+_ACCEPT = Struct("<IQfffBdQHB")
+_BEGUN = Struct("<IQHIHd")
+_ENDED = Struct("<IQHIHBdBHHB")
+_WITHDRAWN = Struct("<IQ")
+_FIRED = Struct("<IQ")
+_PROBED = Struct("<IIHBdB")
+_PEER = Struct("<IHH")
+_COUNTED = Struct("<IQBdf")
+
+_OUT_SEND = Struct("<HIIQdIH")
+_OUT_CANCEL = Struct("<HIIQH")
+_OUT_REFUSE = Struct("<HIIQd")
+_OUT_FAIL = Struct("<HIIQ")
+_OUT_TIMER = Struct("<HIIdQ")
+_OUT_PROBE = Struct("<HIIIH")
+_OUT_TELL = Struct("<HIIIH")
+_OUT_COUNT = Struct("<HIIQfd")
+_OUT_TEXT = Struct("<HIIH")
+LOG_CODE, FAULT_CODE = 1030, 1090
+EVERY_PEER = 0xFFFFFFFF
+RETRY_BIT = 2
+
+
+def _backend(address: int, port: int) -> int:
+    return address << 16 | port
+
+
+def _fixed(shape: Struct, body: bytes, what: str) -> tuple[Any, ...]:
+    """Unpack a record that has no variable part."""
+    if len(body) != shape.size:
+        raise WireError(f"{what}: {len(body)} bytes of fields, {shape.size} expected")
+    return shape.unpack(body)
+
+
+def _counted(shape: Struct, body: bytes, item_size: int, what: str) -> tuple[tuple[Any, ...], bytes]:
+    """Unpack a record whose last fixed field counts the items that follow."""
+    if len(body) < shape.size:
+        raise WireError(f"{what}: {len(body)} bytes of fields, at least {shape.size} expected")
+    head = shape.unpack_from(body)
+    rest = body[shape.size:]
+    if len(rest) != head[-1] * item_size:
+        raise WireError(f"{what}: {len(rest)} bytes follow, {head[-1]} items of {item_size} bytes announced")
+    return head, rest
+
+
+def _number(value: float, what: str, least: float = 0.0) -> float:
+    if not (math.isfinite(value) and value >= least):
+        raise WireError(f"{what}: {value!r} is not a finite number of at least {least:g}")
+    return value
+
+
+def _choice(kind: Callable[[Any], Any], value: Any, what: str) -> Any:
+    try:
+        return kind(value)
+    except ValueError:
+        raise WireError(f"{what}: {value!r} is unknown") from None
+
+
+def _floats(data: bytes, what: str) -> tuple[float, ...]:
+    values = Struct(f"<{len(data) // 4}f").unpack(data)
+    for value in values:
+        _number(value, what, -math.inf)
+    return values
+
+
+def _read_view(body: bytes) -> Event:
+    (_, form, serial, _), rest = _counted(_VIEW, body, _ENTRY.size, "VIEW")
+    entries = []
+    for address, port, zone, kind, cell, state, size, up in _ENTRY.iter_unpack(rest):
+        ready = _choice(BackendState, state, "VIEW availability")
+        entries.append(BackendEntry(_backend(address, port), ready, zone, kind, cell,
+                                    _number(size, "VIEW size"), _number(up, "VIEW up_since")))
+    return FleetUpdate(_choice(ListKind, form, "VIEW form"), entries, serial)
+
+
+def _read_accept(body: bytes) -> Event:
+    _, call, units, first, width, cls, left, customer, plan, bits = _fixed(_ACCEPT, body, "ACCEPT")
+    return RequestArrived(call, customer, plan, cls, _number(units, "ACCEPT price_units"),
+                          int(_number(first, "ACCEPT set_from")), int(_number(width, "ACCEPT width", 1)),
+                          _number(left, "ACCEPT time_left"), bool(bits & RETRY_BIT))
+
+
+def _read_begun(body: bytes) -> Event:
+    _, call, n, address, port, spent = _fixed(_BEGUN, body, "BEGUN")
+    return AnswerBegan(call, n, _backend(address, port), _number(spent, "BEGUN spent"))
+
+
+def _read_ended(body: bytes) -> Event:
+    head, rest = _counted(_ENDED, body, 4, "COMPLETED")
+    _, call, n, address, port, verdict, spent, over, used, units, _ = head
+    return AttemptEnded(call, n, _backend(address, port), _choice(Outcome, verdict, "COMPLETED verdict"),
+                        _number(spent, "COMPLETED spent"), bool(over), used - 1.0 if used else None,
+                        float(units), _floats(rest, "COMPLETED telemetry"))
+
+
+def _read_withdrawn(body: bytes) -> Event:
+    return RequestWithdrawn(_fixed(_WITHDRAWN, body, "WITHDRAWN")[1])
+
+
+def _read_fired(body: bytes) -> Event:
+    return TimerFired(_fixed(_FIRED, body, "DEADLINE_HIT")[1])
+
+
+def _read_probed(body: bytes) -> Event:
+    (_, address, port, verdict, spent, _), rest = _counted(_PROBED, body, 4, "STATUS_BACK")
+    return ProbeEnded(_backend(address, port), _choice(Outcome, verdict, "STATUS_BACK verdict"),
+                      _number(spent, "STATUS_BACK spent"), _floats(rest, "STATUS_BACK telemetry"))
+
+
+def _read_peer(body: bytes) -> Event:
+    (_, author, _), rest = _counted(_PEER, body, 1, "MESSAGE")
+    return PeerMessage(author, rest)
+
+
+def _read_counted(body: bytes) -> Event:
+    _, key, verdict, spent, reading = _fixed(_COUNTED, body, "LEDGER_REPLY")
+    outcome = _choice(Outcome, verdict, "LEDGER_REPLY verdict")
+    if outcome is Outcome.OK:
+        _number(reading, "LEDGER_REPLY reading", -math.inf)
+    return CountAnswered(key, outcome, _number(spent, "LEDGER_REPLY spent"), reading)
+
+
+_READERS: dict[int, Callable[[bytes], Event]] = {
+    1050: _read_view, 1060: _read_accept, 1070: _read_begun, 1030: _read_ended, 1020: _read_withdrawn,
+    1090: _read_fired, 1010: _read_probed, 1040: _read_peer, 1100: _read_counted,
+}
+
+
+def read_event(code: int, body: bytes, settings: Settings) -> Event:
+    """The event in a record that is neither a start nor a stop."""
+    reader = _READERS.get(code)
+    if reader is None:
+        raise WireError(f"unknown event code {code}")
+    event = reader(body)
+    if isinstance(event, RequestArrived):
+        for what, number, known in (("band", event.cls, len(settings.classes)),
+                                    ("tariff", event.plan, len(settings.plans))):
+            if number >= known:
+                raise WireError(f"ACCEPT {what}: {number} is not below {known}")
+    return event
+
+
+def read_provision(body: bytes) -> tuple[int, Settings]:
+    """Seed and settings of an instance that starts."""
+    (_, seed, _), text = _counted(_PROVISION, body, 1, "PROVISION")
+    try:
+        return seed, parse_settings(text.decode())
+    except UnicodeDecodeError:
+        raise WireError("PROVISION settings: not UTF-8 text") from None
+
+
+def write_action(instance: int, action: Action) -> bytes:
+    """One action as a record."""
+    match action:
+        case Send(call, backend, timeout):
+            return _OUT_SEND.pack(1070, 26, instance, call, timeout, backend >> 16, backend & 0xFFFF)
+        case Refuse(call, retry_after):
+            return _OUT_REFUSE.pack(1100, 20, instance, call, retry_after)
+        case Count(name, amount, ttl):
+            return _OUT_COUNT.pack(1020, 24, instance, name, amount, ttl)
+        case SetTimer(after, label):
+            return _OUT_TIMER.pack(1050, 20, instance, after, label)
+        case Fail(call):
+            return _OUT_FAIL.pack(1010, 12, instance, call)
+        case Cancel(call, attempt):
+            return _OUT_CANCEL.pack(1080, 14, instance, call, attempt)
+        case Probe(backend):
+            return _OUT_PROBE.pack(1000, 10, instance, backend >> 16, backend & 0xFFFF)
+        case Tell(gateway, message):
+            whom = EVERY_PEER if gateway is None else gateway
+            return _OUT_TELL.pack(1120, 10 + len(message), instance, whom, len(message)) + message
+        case Log(text):
+            return write_text(LOG_CODE, instance, text)
+
+
+def write_text(code: int, instance: int, text: str) -> bytes:
+    """A log line or a fault as a record."""
+    data = text.encode()[:60_000]
+    return _OUT_TEXT.pack(code, 6 + len(data), instance, len(data)) + data
+
+
+# ---- settings
+
+_EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
+
+
+class _Reader:
+    """Typed look-ups in the settings text; missing or malformed values are named."""
+
+    def __init__(self, text: str) -> None:
+        self.values: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), 1):
+            key, equals, value = line.partition("=")
+            if not equals:
+                raise WireError(f"settings line {number}: no '=' in {line[:40]!r}")
+            self.values[key] = value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.values.get(key, default)
+        if value is None:
+            raise WireError(f"settings: {key} is missing")
+        return value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self.text(key, None if default is None else str(default))
+        try:
+            return float(value)
+        except ValueError:
+            raise WireError(f"settings: {key}: {value!r} is not a number") from None
+
+    def whole(self, key: str, default: int | None = None) -> int:
+        value = self.number(key, default)
+        if not value.is_integer():
+            raise WireError(f"settings: {key}: {value!r} is not a whole number")
+        return int(value)
+
+    def truth(self, key: str) -> bool:
+        value = self.text(key, "false")
+        if value not in ("true", "false"):
+            raise WireError(f"settings: {key}: {value!r} is neither true nor false")
+        return value == "true"
+
+    def items(self, key: str) -> list[str]:
+        return [f"{key}.{i}." for i in range(self.whole(f"{key}.count"))]
+
+
+def parse_settings(text: str) -> Settings:
+    """Read the settings text; unknown keys are ignored."""
+    r = _Reader(text)
+    classes = []
+    for c in r.items("categories"):
+        effect = r.text(c + "idempotency")
+        if effect not in _EFFECTS:
+            raise WireError(f"settings: {c}idempotency: {effect!r} is unknown")
+        classes.append(RequestClass(
+            r.number(c + "aim"), r.number(c + "hard_limit"), r.number(c + "points"), _EFFECTS[effect],
+            _choice(Group, r.text(c + "group", "all"), f"settings: {c}group"),
+            r.number(c + "dedup_window", 0), r.number(c + "late_worth", 0), r.text(c + "name", "")))
+    plans = [Plan(r.number(p + "per_second"), r.number(p + "peak_units"), r.whole(p + "at_once", 0),
+                  r.number(p + "price", 1), r.number(p + "over_worth", 0), r.number(p + "excess_cost", 0),
+                  r.number(p + "cap_rate", 0), r.number(p + "ceiling_burst", 0), r.number(p + "tolerance", 0),
+                  r.text(p + "name", "")) for p in r.items("plans")]
+    reported = r.text("telemetry.via", "off") != "off" and r.text("telemetry.fields", "")
+    return Settings(
+        gateways=r.whole("balancers"), index=r.whole("index"), classes=tuple(classes), plans=tuple(plans),
+        max_attempts=r.whole("permissions.most_tries"), start_capacity=r.number("safety.start_capacity"),
+        cold_ms=r.number("safety.cold"), fall_multiple=r.number("safety.fall_multiple"),
+        overload_ms=r.number("safety.overload_for"), drain_grace_ms=r.number("safety.stop_sending_within"),
+        answer_grace_ms=r.number("safety.grace_to_answer", 0), zone=r.whole("locality", 0),
+        tick_ms=r.number("quantum", 1), most_units=r.number("extra.units_top", 1),
+        marks_retry=r.truth("clients.marks_retry"), retry_after=r.truth("permissions.retry_after"),
+        max_retry_after_ms=r.number("permissions.max_retry_after", 0),
+        second_copies=r.truth("permissions.parallel_tries"), cancel=r.truth("permissions.cancel"),
+        probes=r.truth("permissions.probes"), peers=r.truth("permissions.may_tell"),
+        peer_in_per_s=r.number("extra.peer_intake", 0), counter=r.truth("extra.has_counter"),
+        counter_timeout_ms=r.number("extra.count_wait", 0), counter_price=r.number("extra.counter_price", 0),
+        meter_ms=r.number("extra.meter", 0), settled_after=r.truth("extra.cost_after"),
+        report_fields=tuple(reported.split(",")) if reported else ())
--- /dev/null
+++ b/tests/checker.py
@@ -0,0 +1,127 @@
+"""The five rules as seen from outside one gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tamarindfold.interface import (
+    Action, AttemptEnded, BackendState, Cancel, Effect, Event, Fail, FleetUpdate, Group, ListKind, Outcome, Refuse,
+    RequestArrived, RequestClass, RequestWithdrawn, Send, Settings,
+)
+
+
+class RuleBroken(AssertionError):
+    """What was broken and where."""
+
+
+@dataclass
+class Try:
+    """A request as the outside knows it."""
+
+    event: RequestArrived
+    cls: RequestClass
+    give_up: float
+    sends: list[tuple[float, int, Outcome | None]] = field(default_factory=list)
+    closed: bool = False
+
+
+class Checker:
+    """Feeds one gateway and raises as soon as an action breaks a rule."""
+
+    def __init__(self, handle: Callable[[float, Event], list[Action]], settings: Settings) -> None:
+        self.handle, self.settings = handle, settings
+        self.tries: dict[int, Try] = {}
+        self.told: dict[int, float] = {}  # draining or gone since
+        self.named: dict[int, tuple[int, int]] = {}
+        self.ceilings: dict[int, tuple[float, float]] = {}
+
+    def need(self, good: bool, what: str) -> None:
+        if not good:
+            raise RuleBroken(what)
+
+    def feed(self, now: float, event: Event) -> list[Action]:
+        self.observe(now, event)
+        actions = self.handle(now, event)
+        for action in actions:
+            self.judge(now, action)
+        return actions
+
+    def observe(self, now: float, event: Event) -> None:
+        match event:
+            case RequestArrived():
+                self.tries[event.request] = Try(event, self.settings.classes[event.cls], now + event.time_left_ms)
+            case RequestWithdrawn():
+                self.tries[event.request].closed = True
+            case AttemptEnded() if event.request in self.tries:
+                t = self.tries[event.request]
+                sent, backend, _ = t.sends[event.attempt]
+                t.sends[event.attempt] = (sent, backend, event.outcome)
+                t.closed |= event.over
+            case FleetUpdate() if event.kind is not ListKind.FAILED:
+                ready = {e.backend for e in event.entries if e.state is BackendState.READY}
+                for e in event.entries:
+                    self.named[e.backend] = (e.zone, e.cell)
+                    if e.state is not BackendState.READY:
+                        self.told.setdefault(e.backend, now)
+                if event.kind is not ListKind.CHANGES:
+                    for b in self.named.keys() - ready:
+                        self.told.setdefault(b, now)
+                for b in ready:
+                    self.told.pop(b, None)
+
+    def group(self, backend: int, cls: RequestClass) -> int:
+        zone, cell = self.named[backend]
+        return {Group.ALL: 0, Group.ZONE: zone, Group.CELL: cell}[cls.group]
+
+    def judge(self, now: float, action: Action) -> None:
+        if not isinstance(action, Send | Refuse | Fail | Cancel):
+            return
+        t = self.tries[action.request]
+        risky = [(sent, b) for sent, b, o in t.sends if o is None or not o.never_ran]
+        if isinstance(action, Cancel):
+            return
+        self.need(not t.closed, f"request {action.request}: {action} after its end")
+        if isinstance(action, Send):
+            self.judge_send(now, action, t, risky)
+            return
+        self.need(now <= t.give_up + self.settings.answer_grace_ms, f"request {action.request}: answered too late")
+        if isinstance(action, Refuse) and risky:
+            good = t.cls.effect is Effect.SAFE or (t.cls.effect is Effect.KEYED and t.cls.group is Group.ALL)
+            self.need(good, f"request {action.request}: refused though it may have run")
+        t.closed = True
+
+    def judge_send(self, now: float, action: Send, t: Try, risky: list[tuple[float, int]]) -> None:
+        out = any(o is None for _, _, o in t.sends)
+        self.need(not out or self.settings.second_copies, f"request {action.request}: two attempts at once")
+        self.need(len(t.sends) < self.settings.max_attempts, f"request {action.request}: too many attempts")
+        self.need(action.backend in self.named, f"request {action.request}: to an unknown backend")
+        since = self.told.get(action.backend)
+        self.need(since is None or now <= since + self.settings.drain_grace_ms,
+                  f"request {action.request}: to a draining backend")
+        if risky and t.cls.effect is Effect.UNSAFE:
+            raise RuleBroken(f"request {action.request}: unsafe, sent again though it may have run")
+        if risky and t.cls.effect is Effect.KEYED:
+            sent, first = risky[0]
+            self.need(now < sent + t.cls.window_ms, f"request {action.request}: keyed, past its window")
+            self.need(self.group(action.backend, t.cls) == self.group(first, t.cls),
+                      f"request {action.request}: keyed, outside its group")
+        if not t.sends:
+            self.draw_ceiling(now, t.event)
+        t.sends.append((now, action.backend, None))
+
+    def draw_ceiling(self, now: float, event: RequestArrived) -> None:
+        """This gateway's part of the customer's second store, which a restart finds as it stands."""
+        plan = self.settings.plans[event.plan]
+        if not plan.ceiling_rate:
+            return
+        at, level = self.ceilings.get(event.customer, (now, plan.ceiling_burst / event.width))
+        fill = (now - at) / 1000 * plan.ceiling_rate / event.width
+        level = min(plan.ceiling_burst / event.width, level + fill) - event.units
+        self.need(level >= -1e-6, f"customer {event.customer}: ceiling passed by {-level}")
+        self.ceilings[event.customer] = now, level
+
+    def finish(self) -> None:
+        """All that was taken is answered."""
+        for number, t in self.tries.items():
+            self.need(t.closed, f"request {number}: never answered")
