--- a/troutdock/__main__.py
+++ b/troutdock/__main__.py
@@ -13,7 +13,7 @@
 
 from troutdock.config import Config, ConfigError, load_config
 from troutdock.discovery import Discovery, ListReader
-from troutdock.ingress import OTHER_SOCKETS, Ingress
+from troutdock.ingress import Ingress, half_of_sockets
 from troutdock.request import Reader
 from troutdock.server import Server
 
@@ -33,7 +33,7 @@
         tried = asyncio.Event()
         tasks.append(asyncio.create_task(ingress.counter.run(tried)))
         await tried.wait()
-    server = Server(ingress, Reader(config.settings), (config.sockets - OTHER_SOCKETS) // 2)
+    server = Server(ingress, Reader(config.settings), half_of_sockets(config))
     host, port = server.listen(config.listen)
     log.info("%s: serving on %s:%d, %d backends known", config.name, host, port, len(endpoints))
     tasks.append(asyncio.create_task(_sweep(ingress, server)))
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -25,6 +25,11 @@
 PASSED_ON = (b"content-type", b"content-encoding")
 
 
+def half_of_sockets(config: Config) -> int:
+    """The bound on clients' connections, and that on backends' connections."""
+    return (config.sockets - OTHER_SOCKETS) // 2
+
+
 class Clock:
     """Monotonic milliseconds on the scale of Unix time.
 
@@ -69,7 +74,7 @@
         self._calls: dict[int, Call] = {}
         self._last_number = 0
         self._knows_backends = False
-        self.backends = Backends((config.sockets - OTHER_SOCKETS) // 2, config.connect_timeout_s, config.idle_s,
+        self.backends = Backends(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
                                  self._attempt_ended)
         self.counter: Counter | None = None
         if config.settings.counter and config.counter is not None:
@@ -122,8 +127,8 @@
         served = outcome is Outcome.OK and call.number in self._calls
         if served and response is not None:
             del self._calls[call.number]
-            passed_on = tuple((name, response.headers[name]) for name in PASSED_ON if name in response.headers)
-            call.exchange.answer(200, response.body, passed_on)
+            kept = tuple((name, response.headers[name]) for name in PASSED_ON if name in response.headers)
+            call.exchange.answer(200, response.body, kept)
         self._tell_end(call, attempt, outcome, _billed_units(response) if served else 0.0)
         if served:
             self._settle(call)
@@ -141,8 +146,8 @@
     def _tell_end(self, call: Call, attempt: Attempt, outcome: Outcome, units: float = 0.0) -> None:
         elapsed_ms = self._clock.now() - attempt.started
         over = call.number not in self._calls
-        self._handle(AttemptEnded(call.number, attempt.index, attempt.backend, outcome, elapsed_ms, over, None,
-                                  units), call)
+        self._handle(AttemptEnded(call.number, attempt.index, attempt.backend, outcome, elapsed_ms, over,
+                                  true_units=units), call)
 
     def _settle(self, call: Call) -> None:
         """A request is concluded: nothing more is waited for."""
--- a/troutdock/request.py
+++ b/troutdock/request.py
@@ -98,9 +98,9 @@
     dropped = _NOT_FORWARDED
     for name, value in headers:
         if name == b"connection" and value.lower() not in (b"keep-alive", b"close"):
-            dropped = dropped.union(part.strip().lower() for part in value.split(b","))
+            dropped |= {part.strip().lower() for part in value.split(b",")} - _READ
     lines = [b"%b %b HTTP/1.1" % (method, url)]
-    lines += [b"%b: %b" % pair for pair in headers if pair[0] not in dropped or pair[0] in _READ - _NOT_FORWARDED]
+    lines += [b"%b: %b" % pair for pair in headers if pair[0] not in dropped]
     if method != b"GET":
         lines.append(b"Content-Length: %d" % length)
     lines.append(b"")
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -284,7 +284,8 @@
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
-            if now - began > DRAIN_MOST_S or (now - began > DRAIN_ACCEPT_S and now - self._last_accept > DRAIN_QUIET_S):
+            quiet = now - self._last_accept > DRAIN_QUIET_S
+            if now - began > (DRAIN_ACCEPT_S if quiet else DRAIN_MOST_S):
                 break
         self._accept()
         self._pause()
