Test the ingress over loopback, and mend what the tests found

Also: the known list is read with the rest of the configuration, so that a bad one is named at the start; addresses have a file of their own. Conclusion: accept first, then make room; the connection of an upgrade ends with its one answer.

--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,196 @@
+"""An ingress on loopback sockets, between scripted peers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+import uvloop
+
+from troutdock.__main__ import serve
+from troutdock.config import read_config
+
+SETTINGS: dict[str, Any] = {
+    "balancers": 3, "index": 0, "locality": 0, "quantum": 2.0, "zones": ["hall-a", "hall-b"], "machine_types": ["std-2c"],
+    "categories": [
+        {"name": "ledger-read", "aim": 1500.0, "hard_limit": 4000.0, "points": 2.0, "idempotency": "pure", "group": "all",
+         "dedup_window": 5000.0, "late_worth": 0.2, "streaming": False},
+        {"name": "payment-book", "aim": 1000.0, "hard_limit": 4000.0, "points": 5.0, "idempotency": "token", "group": "all",
+         "dedup_window": 3000.0, "late_worth": 0.0, "streaming": False},
+        {"name": "vat-filing", "aim": 750.0, "hard_limit": 1500.0, "points": 5.0, "idempotency": "side_effect",
+         "group": "all", "dedup_window": 5000.0, "late_worth": 0.0, "streaming": False}],
+    "plans": [
+        {"name": "basis", "per_second": 1.0, "peak_units": 8.0, "price": 0.72, "over_worth": 0.0, "excess_cost": 0.5},
+        {"name": "plus", "per_second": 100.0, "peak_units": 1000.0, "price": 1.6, "over_worth": 0.0, "excess_cost": 0.6}],
+    "permissions": {"most_tries": 3, "dial_timeout": 250.0, "conn_idle": 30000.0, "retry_after": True, "cancel": True,
+                    "max_retry_after": 500.0, "parallel_tries": True, "probes": False},
+    "safety": {"start_capacity": 0.2, "cold": 15000.0, "fall_multiple": 2.0, "overload_for": 3000.0,
+               "stop_sending_within": 500.0, "grace_to_answer": 8.0},
+    "extra": {"has_counter": False, "count_wait": 50.0, "units_top": 8, "cost_after": True},
+    "clients": {"marks_retry": True}, "telemetry": {"via": "off", "fields": []}, "tiers": ["ledger-fleet"],
+}
+
+Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    """Run a test on the loop that the ingress uses; a test that hangs fails."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(test, 30))
+
+
+def answer(body: bytes = b"done", status: int = 200, head: bytes = b"") -> Script:
+    """A script that answers every request alike."""
+    async def script(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), head, body))
+    return script
+
+
+def sends(data: bytes, close: bool = True) -> Script:
+    """A script that writes just these bytes."""
+    async def script(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        if close:
+            writer.close()
+    return script
+
+
+async def silence(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+    """A script that never answers."""
+
+
+async def read_message(reader: asyncio.StreamReader) -> bytes:
+    """One HTTP message whose length its head says."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head, re.I)
+    return head + (await reader.readexactly(int(length[1])) if length else b"")
+
+
+class Peer:
+    """A server that does with each request what its script says, and keeps what it was sent."""
+
+    def __init__(self, script: Script, read: Callable[[asyncio.StreamReader], Awaitable[bytes]] = read_message) -> None:
+        self.script, self.read = script, read
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self.closed = 0
+
+    async def start(self, port: int = 0) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                request = await self.read(reader)
+                self.requests.append(request)
+                await self.script(self, request, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+            writer.close()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def stop(self) -> None:
+        """No new connections, and those that are open are reset."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
+        """Status, head and body of the answer."""
+        self.writer.write(data)
+        return await self.answer()
+
+    async def answer(self) -> tuple[int, bytes, bytes]:
+        head, _, body = (await read_message(self.reader)).partition(b"\r\n\r\n")
+        return int(head.split()[1]), head, body
+
+
+def request(cls: str = "vat-filing", number: int = 1, **changes: str | None) -> bytes:
+    """A client's request; changes name headers with _ for -, None leaves one out."""
+    method = "GET" if cls == "ledger-read" else "POST"
+    headers: dict[str, str | None] = {
+        "Host": "service.internal", "Request-Id": f"{number:016x}", "Plan": "plus", "Account": "0000000000000009",
+        "Request-Timeout": "1.500", "Quota-Info": "units=2,spread=2,first=0"}
+    if cls == "payment-book":
+        headers["Idempotency-Key"] = "ab" * 16
+    body = changes.pop("body", "" if method == "GET" else "receipt") or ""
+    if method == "POST":
+        headers["Content-Length"] = str(len(body))
+    headers |= {name.replace("_", "-"): value for name, value in changes.items() if name not in ("method", "path")}
+    lines = [f"{changes.get('method') or method} {changes.get('path') or '/' + cls + '/7?year=3'} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items() if value is not None]
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+
+def target(peer: Peer, uid: str, state: str = "active", **changes: Any) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": peer.address, "az": "hall-a", "model": "std-2c", "pod_group": 0, "state": state,
+            "capacity_hint": 1.0, "boot_ms": 0, **changes}
+
+
+class World:
+    """A running ingress; what it is connected to can be stopped and changed."""
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        self._stack = stack
+        self.stop = asyncio.Event()
+
+    async def client(self) -> Client:
+        reader, writer = await asyncio.open_connection(*self.address)
+        self._stack.callback(writer.close)
+        return Client(reader, writer)
+
+    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
+        return await (await self.client()).ask(data)
+
+
+@asynccontextmanager
+async def world(*scripts: Script, counter: Script | None = None, read_counter: Any = None, sockets: int = 1024,
+                discovery: Script = silence, settings: dict[str, Any] | None = None) -> Any:
+    """An ingress with a backend for each script, known to it from the start."""
+    async with AsyncExitStack() as stack:
+        w = World(stack)
+        w.backends = [Peer(script) for script in scripts]
+        w.discovery = Peer(discovery)
+        for peer in [*w.backends, w.discovery]:
+            await peer.start()
+            stack.callback(peer.stop)
+        used = json.loads(json.dumps(SETTINGS)) | (settings or {})
+        config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": w.discovery.address, "seed": "07",
+                  "limits": {"sockets": sockets}, "settings": used,
+                  "known": {"rev": 5, "all": True, "targets": [target(b, f"s-{n}") for n, b in enumerate(w.backends)]}}
+        if counter is not None:
+            w.counter = Peer(counter, read_counter)
+            await w.counter.start()
+            stack.callback(w.counter.stop)
+            config["counter"] = w.counter.address
+            used["extra"]["has_counter"] = True
+        serving: asyncio.Future[tuple[str, int]] = asyncio.get_running_loop().create_future()
+        w.task = asyncio.create_task(serve(read_config(json.dumps(config)), w.stop, serving.set_result))
+        await asyncio.wait({w.task, serving}, return_when=asyncio.FIRST_COMPLETED)
+        w.address = await serving
+        stack.callback(w.task.cancel)
+        yield w
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the test's own limit ends a wait in vain."""
+    while not condition():
+        await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,302 @@
+"""What came of an attempt: every row of the protocol's table, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from loopback import Peer, Script, answer, request, run, sends, silence, until, world
+
+from tamarindfold.interface import Outcome
+from troutdock.backends import Attempt, Backends
+from troutdock.http1 import MAX_BODY, Response
+
+PAYLOAD = b"POST /vat-filing HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
+
+
+class Outcomes:
+    """A fleet of one backend and what its attempts came to."""
+
+    def __init__(self, port: int, max_open: int = 10, idle_s: float = 30.0) -> None:
+        self.ended: list[tuple[Attempt, Outcome, Response | None]] = []
+        self.backends = Backends(max_open, 0.25, idle_s, lambda *end: self.ended.append(end))
+        self.backends.place(1, ("127.0.0.1", port))
+
+    def start(self, payload: bytes = PAYLOAD) -> Attempt:
+        attempt = Attempt(None, 0, 1, payload, 0.0)
+        self.backends.start(attempt)
+        assert not any(a is attempt for a, _, _ in self.ended)  # never within the call
+        return attempt
+
+    async def outcome(self, payload: bytes = PAYLOAD) -> tuple[Outcome, Response | None]:
+        attempt = self.start(payload)
+        await until(lambda: any(a is attempt for a, _, _ in self.ended))
+        return next((o, r) for a, o, r in self.ended if a is attempt)
+
+
+NOT_STARTED = b"Not-Started: 1\r\n"
+
+
+@pytest.mark.parametrize(("script", "outcome"), [
+    (answer(b"done"), Outcome.OK),
+    (answer(b"", 500), Outcome.ERROR),
+    (answer(b"", 503, NOT_STARTED), Outcome.FULL),
+    (answer(b"", 504, NOT_STARTED), Outcome.FULL),
+    (answer(b"", 503), Outcome.ERROR),
+    (answer(b"", 504, b"Not-Started: 0\r\n"), Outcome.ERROR),
+    (answer(b"", 500, NOT_STARTED), Outcome.ERROR),
+    (answer(b"", 404), Outcome.ERROR),
+    (sends(b""), Outcome.RESET),
+    (sends(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), Outcome.RESET),
+    (sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), Outcome.RESET),
+    (sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), Outcome.OK),
+    (sends(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"), Outcome.OK),
+    (sends(b"HTTP/1.1 200 OK\r\n\r\ndone"), Outcome.OK),  # its length is told by the close
+    (sends(b"SSH-2.0-nonsense\r\n", close=False), Outcome.RESET),
+    (sends(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000, close=False), Outcome.RESET),
+    (answer(b"x" * (MAX_BODY + 1)), Outcome.RESET),
+    (sends(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", close=False), Outcome.RESET),
+])
+def test_each_answer_has_its_outcome(script: Script, outcome: Outcome) -> None:
+    async def test() -> None:
+        peer = Peer(script)
+        await peer.start()
+        got, response = await Outcomes(peer.port).outcome()
+        assert got is outcome
+        assert (response.body == b"done") if got is Outcome.OK else True
+        peer.stop()
+    run(test())
+
+
+def test_a_refused_connection_is_known_not_to_have_run() -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        peer.server.close()
+        await peer.server.wait_closed()
+        assert (await Outcomes(peer.port).outcome())[0] is Outcome.CONNECT_FAILED
+    run(test())
+
+
+def test_a_connection_that_never_comes_up_is_given_up_in_time() -> None:
+    """A full backlog swallows what comes: the connection neither comes up nor is refused."""
+    async def test() -> None:
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            port = listener.getsockname()[1]
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", port))
+            outcomes = Outcomes(port)
+            assert (await outcomes.outcome())[0] is Outcome.CONNECT_FAILED
+            assert outcomes.backends.open == 0
+            for filler in fillers:
+                filler.close()
+    run(test())
+
+
+def test_a_break_before_the_last_byte_is_no_run_and_after_it_may_be_one() -> None:
+    async def test() -> None:
+        async def half(reader: asyncio.StreamReader) -> bytes:
+            return await reader.readexactly(10)
+
+        async def hang_up(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        peer = Peer(hang_up, half)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        # more than the kernel's buffers take: the peer is gone while some of it is still to be written
+        assert (await outcomes.outcome(b"x" * 50_000_000))[0] is Outcome.CONNECT_FAILED
+        assert (await outcomes.outcome(b"x" * 10))[0] is Outcome.RESET
+        peer.stop()
+    run(test())
+
+
+def test_the_connection_used_last_is_used_again() -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        first, second = outcomes.start(), outcomes.start()
+        await until(lambda: len(peer.requests) == 2)
+        for writer in peer.writers:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await until(lambda: len(outcomes.ended) in (1, 2))
+        await until(lambda: len(outcomes.ended) == 2)
+        last = outcomes.backends._pools[1].idle[-1]
+        third = outcomes.start()
+        assert third.connection is last
+        assert peer.connections == 2
+        assert first.over and second.over and not third.over
+        peer.stop()
+    run(test())
+
+
+def test_a_connection_that_the_peer_closed_is_never_handed_out() -> None:
+    """Even in the moment before the loop has read of the close: an unsafe request would end as a reset."""
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        await outcomes.outcome()
+        connection = outcomes.backends._pools[1].idle[-1]
+        assert connection.usable()
+        # the close happens at the other end while this loop does nothing else
+        other = peer.writers[0].transport.get_extra_info("socket")
+        socket.socket(fileno=socket.dup(other.fileno())).shutdown(socket.SHUT_RDWR)
+        assert not connection.usable()
+        assert (await outcomes.outcome())[0] is Outcome.OK
+        assert peer.connections == 2
+        peer.stop()
+    run(test())
+
+
+def test_an_attempt_given_up_closes_its_connection() -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        attempt = outcomes.start()
+        await until(lambda: bool(peer.requests))
+        outcomes.backends.give_up(attempt)
+        await until(lambda: peer.closed == 1)
+        assert outcomes.backends.open == 0 and not outcomes.ended
+        peer.stop()
+    run(test())
+
+
+def test_an_attempt_given_up_while_it_connects_is_never_written() -> None:
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        outcomes.backends.give_up(outcomes.start())
+        await until(lambda: peer.connections == 1)
+        assert (await outcomes.outcome())[0] is Outcome.OK
+        assert len(peer.requests) == 1 and len(outcomes.ended) == 1
+        peer.stop()
+    run(test())
+
+
+def test_idle_connections_are_dropped_before_the_backend_does() -> None:
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port, idle_s=0.0)
+        await outcomes.outcome()
+        assert outcomes.backends.open == 1
+        await asyncio.sleep(0.01)
+        outcomes.backends.sweep()
+        assert outcomes.backends.open == 0
+        await until(lambda: peer.closed == 1)
+        peer.stop()
+    run(test())
+
+
+def test_connections_to_backends_are_bounded() -> None:
+    """At the bound an idle one makes room; with none idle the new one never comes up."""
+    async def test() -> None:
+        peers = [Peer(silence), Peer(answer())]
+        for peer in peers:
+            await peer.start()
+        outcomes = Outcomes(peers[0].port, max_open=2)
+        outcomes.backends.place(2, ("127.0.0.1", peers[1].port))
+        outcomes.start()
+        idle = Attempt(None, 0, 2, PAYLOAD, 0.0)
+        outcomes.backends.start(idle)
+        await until(lambda: idle.over)
+        outcomes.start()
+        await until(lambda: len(peers[0].requests) == 2)
+        await until(lambda: peers[1].closed == 1)
+        assert (await outcomes.outcome())[0] is Outcome.CONNECT_FAILED
+        assert outcomes.backends.open == 2
+        for peer in peers:
+            peer.stop()
+    run(test())
+
+
+# ---- the same through a whole ingress
+
+
+def test_a_served_answer_is_passed_on_unchanged() -> None:
+    async def test() -> None:
+        body = bytes(range(256)) * 200
+        async with world(answer(body, head=b"Billed-Units: 3\r\nContent-Type: x/y\r\n")) as w:
+            status, head, got = await w.ask(request("payment-book", Idempotency_Key="5c" * 16))
+            assert (status, got) == (200, body)
+            assert b"content-type: x/y" in head.lower()
+            (sent,) = w.backends[0].requests
+            assert sent.startswith(b"POST /payment-book/7?year=3 HTTP/1.1\r\n") and sent.endswith(b"\r\n\r\nreceipt")
+            lines = sent.lower().split(b"\r\n")
+            assert b"request-id: " + b"0" * 15 + b"1" in lines and b"idempotency-key: " + b"5c" * 16 in lines
+            (left,) = [float(line[17:]) for line in lines if line.startswith(b"request-timeout: ")]
+            assert 1.0 < left < 1.5
+    run(test())
+
+
+@pytest.mark.parametrize(("cls", "script", "status", "sent"), [
+    ("vat-filing", answer(b"", 500), 502, 1), ("vat-filing", sends(b""), 502, 1), ("vat-filing", answer(b"", 503), 502, 1),
+    ("vat-filing", answer(b"", 503, NOT_STARTED), 429, 3), ("ledger-read", answer(b"", 500), 429, 3),
+    ("payment-book", sends(b""), 429, 3),
+])
+def test_attempts_go_as_far_as_the_class_allows(cls: str, script: Script, status: int, sent: int) -> None:
+    async def test() -> None:
+        async with world(script, script, script, script) as w:
+            assert (await w.ask(request(cls)))[0] == status
+            assert sum(len(b.requests) for b in w.backends) == sent
+    run(test())
+
+
+@pytest.mark.parametrize(("cls", "status"), [("vat-filing", 502), ("ledger-read", 429), ("payment-book", 429)])
+def test_silence_is_answered_before_the_client_gives_up(cls: str, status: int) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        async with world(silence) as w:
+            began = loop.time()
+            assert (await w.ask(request(cls, Request_Timeout="0.400")))[0] == status
+            assert loop.time() - began < 0.4
+            await until(lambda: w.backends[0].closed == 1)
+            assert len(w.backends[0].requests) == 1  # nothing is tried in the last moment
+    run(test())
+
+
+def test_a_client_that_leaves_ends_its_attempt() -> None:
+    async def test() -> None:
+        async with world(silence) as w:
+            client = await w.client()
+            client.writer.write(request())
+            await until(lambda: bool(w.backends[0].requests))
+            client.writer.close()
+            await until(lambda: w.backends[0].closed == 1)
+    run(test())
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            client = await w.client()
+            told = [await client.ask(request(number=n, Plan="basis")) for n in range(6)]
+            refused = [head for status, head, _ in told if status == 429]
+            assert refused and len(w.backends[0].requests) == len(told) - len(refused)
+            assert all(float(h.split(b"Retry-After: ")[1].split(b"\r\n")[0]) > 0 for h in refused)
+    run(test())
+
+
+def test_a_backend_that_restarts_elsewhere_is_found_there() -> None:
+    """Discovery may give a known backend a new address; nothing goes to the old one any more."""
+    async def test() -> None:
+        old, new = Peer(answer(b"old")), Peer(answer(b"new"))
+        for peer in (old, new):
+            await peer.start()
+        outcomes = Outcomes(old.port)
+        assert (await outcomes.outcome())[1].body == b"old"
+        outcomes.backends.place(1, ("127.0.0.1", new.port))
+        assert (await outcomes.outcome())[1].body == b"new"
+        await until(lambda: old.closed == 1)
+        for peer in (old, new):
+            peer.stop()
+    run(test())
--- a/troutdock/backends.py
+++ b/troutdock/backends.py
@@ -10,7 +10,7 @@
 from typing import Any, cast
 
 from tamarindfold.interface import BackendId, BackendState, FleetUpdate, ListKind, Outcome
-from troutdock.config import Address
+from troutdock.address import Address
 from troutdock.http1 import BadResponse, Response, ResponseReader
 
 log = logging.getLogger("troutdock")
--- a/troutdock/config.py
+++ b/troutdock/config.py
@@ -6,12 +6,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from tamarindfold.interface import Settings
+from tamarindfold.interface import FleetUpdate, Settings
 from tamarindfold.wire import parse_settings
+from troutdock.address import Address, parse_address
+from troutdock.discovery import Endpoints, ListReader
 
-Address = tuple[str, int]
+MIN_SOCKETS = 64
 
 
 class ConfigError(ValueError):
@@ -27,25 +28,14 @@
     discovery: Address
     counter: Address | None
     seed: int
-    known: dict[str, Any]
+    lists: ListReader
+    known: tuple[FleetUpdate, Endpoints]  # the list of backends as this ingress last had it
     settings: Settings
-    zones: tuple[str, ...]
-    kinds: tuple[str, ...]
     sockets: int
     connect_timeout_s: float
     idle_s: float  # a backend closes a connection that has stood idle this long
 
 
-def parse_address(text: object) -> Address:
-    """Host and port of "10.0.0.4:8081"."""
-    if not isinstance(text, str):
-        raise ValueError(f"{text!r} is not an address")
-    host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
-        raise ValueError(f"{text!r} is not an address")
-    return host, int(port)
-
-
 def flatten(value: object, path: str = "") -> Iterator[str]:
     """Nested settings as the simulator's path=value lines, so that wire.parse_settings validates both."""
     match value:
@@ -79,17 +69,21 @@
         raw = json.loads(text)
         settings = raw["settings"]
         permissions = settings.get("permissions", {})
+        sockets = int(raw.get("limits", {}).get("sockets", 1024))
+        if sockets < MIN_SOCKETS:
+            raise ConfigError(f"limits.sockets: {sockets} is below {MIN_SOCKETS}")
+        lists = ListReader(settings.get("zones", ()), settings.get("machine_types", ()))
+        known = raw.get("known") or {"rev": 0, "all": True, "targets": []}
         return Config(
             name=str(raw.get("name", "")),
             listen=parse_address(raw["listen"]),
             discovery=parse_address(raw["discovery"]),
             counter=parse_address(raw["counter"]) if raw.get("counter") else None,
             seed=int(raw.get("seed", "0"), 16),
-            known=raw.get("known") or {"rev": 0, "all": True, "targets": []},
+            lists=lists,
+            known=lists.read(known, cached=True),
             settings=parse_settings("\n".join(flatten(settings))),
-            zones=tuple(map(str, settings.get("zones", ()))),
-            kinds=tuple(map(str, settings.get("machine_types", ()))),
-            sockets=int(raw.get("limits", {}).get("sockets", 1024)),
+            sockets=sockets,
             connect_timeout_s=float(permissions.get("dial_timeout", 250)) / 1000,
             idle_s=float(permissions.get("conn_idle", 15_000)) / 1000,
         )
@@ -103,7 +97,5 @@
     """Read the file; ConfigError if that can't be done."""
     try:
         return read_config(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise ConfigError(f"{path}: {error}") from error
-    except ConfigError as error:
+    except (OSError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from error
--- a/troutdock/counter.py
+++ b/troutdock/counter.py
@@ -11,7 +11,7 @@
 import hiredis
 
 from tamarindfold.interface import CountAnswered, Outcome
-from troutdock.config import Address
+from troutdock.address import Address
 
 log = logging.getLogger("troutdock")
 
--- a/troutdock/discovery.py
+++ b/troutdock/discovery.py
@@ -5,12 +5,12 @@
 import asyncio
 import json
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from hashlib import blake2b
 from typing import Any
 
 from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind
-from troutdock.config import Address, parse_address
+from troutdock.address import Address, parse_address
 from troutdock.http1 import BadResponse, Response, ResponseReader
 
 log = logging.getLogger("troutdock")
@@ -35,7 +35,7 @@
 class ListReader:
     """Reads discovery's lists into the gateway's form."""
 
-    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+    def __init__(self, zones: Iterable[str], kinds: Iterable[str]) -> None:
         self._zones = {name: number for number, name in enumerate(zones)}
         self._kinds = {name: number for number, name in enumerate(kinds)}
 
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from troutdock.config import Address
+from troutdock.address import Address
 from troutdock.http1 import MAX_BODY, MAX_HEAD
 from troutdock.ingress import Call, Ingress
 from troutdock.request import BadRequest, Reader
@@ -96,7 +96,7 @@
         except BadRequest as error:
             self._reject(error.status)
         except httptools.HttpParserUpgrade:
-            self._reject(400)
+            pass  # the request is answered as any other, and the connection ends with it
         except httptools.HttpParserError as error:
             cause = error.__context__
             self._reject(cause.status if isinstance(cause, BadRequest) else 400)
@@ -175,7 +175,7 @@
         self._received = 0
         if self._deaf:
             return
-        exchange = Exchange(self, self._parser.should_keep_alive())
+        exchange = Exchange(self, self._parser.should_keep_alive() and not self._parser.should_upgrade())
         self._exchanges.append(exchange)
         method = self._parser.get_method()
         if not exchange.keep_alive:
@@ -228,7 +228,9 @@
 
     def _accept(self) -> None:
         while True:
-            if len(self._clients) + self._starting >= self._max_clients and not self._close_longest_idle():
+            full = len(self._clients) + self._starting >= self._max_clients
+            idle = self._longest_idle() if full else None
+            if full and idle is None:
                 self._pause()  # the kernel's queue holds the rest until a connection ends
                 return
             try:
@@ -242,6 +244,9 @@
                 self._pause()
                 self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
+            if idle is not None:
+                self._clients.pop(idle)
+                idle.close()
             sock.setblocking(False)
             self._last_accept = time.monotonic()
             self._starting += 1
@@ -256,13 +261,8 @@
         finally:
             self._starting -= 1
 
-    def _close_longest_idle(self) -> bool:
-        idle = min((c for c in self._clients if c.idle), key=lambda c: c.active, default=None)
-        if idle is None:
-            return False
-        self._clients.pop(idle)
-        idle.close()
-        return True
+    def _longest_idle(self) -> ClientConnection | None:
+        return min((c for c in self._clients if c.idle), key=lambda c: c.active, default=None)
 
     def forget(self, connection: ClientConnection) -> None:
         """A connection has ended."""
