Fail only the request that an error is about; bound a drain; guard keyed repeats

Checked: tests over loopback for the first two, one on the module for the third; before the change the second hung.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -36,7 +36,7 @@
 RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
 PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
-RESOLVE = 16.0  # how sharply sends thin out while the forecast passes the patience
+RESOLVE, REACH_MS = 16.0, 300.0  # how sharply sends thin out past the patience; a send arrives by then
 
 
 class Slowness:
@@ -429,7 +429,7 @@
         """The one table of further attempts: by effect, and by what may have run."""
         safe, keyed = call.cls.effect is Effect.SAFE, call.cls.effect is Effect.KEYED
         harmless = safe or not call.may_have_run
-        allowed = harmless or (keyed and now < call.ran_until - 1)
+        allowed = harmless or (keyed and now < call.ran_until - REACH_MS)
         refusable = harmless or (keyed and call.cls.group is Group.ALL)
         more = len(call.tried) < self.settings.max_attempts and now < call.give_up - self.settings.tick_ms
         if allowed and more and self.retries >= 1 and (backend := self.choose(now, call)) is not None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -297,3 +297,12 @@
     with pytest.raises(RuleBroken, match="ceiling"):
         for n in range(30):
             checker.feed(START, request(n))
+
+
+def test_a_keyed_repeat_is_not_begun_where_a_new_connection_could_outlast_the_window() -> None:
+    """On sockets a send may take the time to connect before its last byte is there."""
+    for took, again in ((2600.0, True), (2800.0, False)):
+        g = gateway(1, 2, 3, 4)
+        send = first_send(g, 1, KEYED_ALL)
+        actions = g.handle(START + took, ended(1, send.backend, Outcome.RESET, took=took))
+        assert isinstance(actions[0], Send) is again
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -491,3 +491,30 @@
         reader.feed_data(request() + b"rest")
         assert (await read_message(reader)).endswith(b"receipt")
     run(test())
+
+
+def test_a_drain_does_not_wait_for_a_request_that_never_ends() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            client = await w.client()
+            client.writer.write(request()[:50])
+            await asyncio.sleep(0.05)
+            w.stop.set()
+            await w.task
+            assert await client.reader.read() == b""
+    run(test())
+
+
+def test_an_exception_on_the_counters_answer_fails_the_held_request_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The event names no request, but the action that failed does."""
+    async def test() -> None:
+        async with world(answer(), counter=sends(b"$1\r\n0\r\n", close=False), read_counter=read_call) as w:
+            from tamarindfold import Gateway
+            from tamarindfold.interface import Count, Send
+
+            def to_nowhere(gateway: Gateway, now: float, event: Any) -> list[Any]:
+                return [Send(1, 404)] if isinstance(event, CountAnswered) else [Count(7, 1.0, 1000.0)]
+
+            monkeypatch.setattr(Gateway, "handle", to_nowhere)
+            assert (await w.ask(request(Request_Timeout="25.000")))[0] == 500
+    run(test())
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -73,7 +73,7 @@
         self._gateway = Gateway(config.settings, config.seed)
         self._calls: dict[int, Call] = {}
         self._last_number = 0
-        self._knows_backends = False
+        self.ready = False  # until there is a backend to send to
         self.backends = Backends(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
                                  self._attempt_ended)
         self.counter: Counter | None = None
@@ -81,15 +81,6 @@
             timeout_s = config.settings.counter_timeout_ms / 1000
             self.counter = Counter(config.counter, timeout_s, self._handle)
 
-    @property
-    def ready(self) -> bool:
-        """True once there is a backend to send to."""
-        return self._knows_backends
-
-    @property
-    def open_calls(self) -> int:
-        return len(self._calls)
-
     # ---- events
 
     def fleet(self, update: FleetUpdate, endpoints: Endpoints) -> None:
@@ -98,7 +89,7 @@
             self.backends.place(backend, endpoint)
         self._handle(update)
         self.backends.follow(update)
-        self._knows_backends = self._knows_backends or bool(endpoints)
+        self.ready = self.ready or bool(endpoints)
 
     def arrive(self, request: Request, exchange: Exchange) -> Call:
         """A client's request: it gets its one final answer before its time is over."""
@@ -110,7 +101,7 @@
         arrival.time_left_ms = max(1.0, request.timeout_ms - waited_ms - MARGIN_MS)
         call = Call(arrival.request, request, exchange, self._clock.now() + arrival.time_left_ms)
         self._calls[call.number] = call
-        self._handle(arrival, call)
+        self._handle(arrival)
         if call.number in self._calls:
             # one millisecond more, as the loop's timers may be that much early
             call.timer = self._loop.call_later(arrival.time_left_ms / 1000 + 0.001, self._time_is_up, call)
@@ -147,7 +138,7 @@
         elapsed_ms = self._clock.now() - attempt.started
         over = call.number not in self._calls
         self._handle(AttemptEnded(call.number, attempt.index, attempt.backend, outcome, elapsed_ms, over,
-                                  true_units=units), call)
+                                  true_units=units))
 
     def _settle(self, call: Call) -> None:
         """A request is concluded: nothing more is waited for."""
@@ -160,14 +151,17 @@
 
     # ---- actions
 
-    def _handle(self, event: Event, call: Call | None = None) -> None:
-        """Give the gateway an event and do what it says; an exception costs the event's own request only."""
+    def _handle(self, event: Event) -> None:
+        """Give the gateway an event and do what it says."""
+        about: Event | Action = event
         try:
-            for action in self._gateway.handle(self._clock.now(), event):
-                self._carry_out(action)
+            for about in self._gateway.handle(self._clock.now(), event):
+                self._carry_out(about)
         except Exception:
-            log.exception("on %s", type(event).__name__)
-            if call is not None and call.number in self._calls:
+            # guards the other requests: only the one that the event or the action is about fails
+            log.exception("%s, on %s", about, event)
+            number = getattr(about, "request", None) or getattr(event, "request", None)
+            if (call := self._calls.get(number or 0)) is not None:
                 self._answer(call, 500)
 
     def _carry_out(self, action: Action) -> None:
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -144,10 +144,15 @@
             self._transport.close()
 
     def close(self) -> None:
-        """Close the connection between requests."""
+        """Close the connection between requests, once its last answer is out."""
         self._deaf = True
         self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once: guards against a client that never reads its answer, or never ends its request."""
+        self._deaf = True
+        self._transport.abort()
+
     # ---- called by the parser
 
     def on_message_begin(self) -> None:
@@ -273,7 +278,7 @@
         """Close the connections that clients have left standing."""
         before = time.monotonic() - IDLE_S
         for connection in [c for c in self._clients if c.stale(before)]:
-            connection.close()
+            connection.abort()
 
     async def drain(self) -> None:
         """Take what still comes, finish all that was taken, then close the door."""
@@ -292,6 +297,9 @@
         self._listener.close()
         while self._starting or self._clients:
             await asyncio.sleep(0.02)
-            before = time.monotonic() - DRAIN_QUIET_S
-            for connection in [c for c in self._clients if c.idle and c.active < before]:
-                connection.close()
+            now = time.monotonic()
+            for connection in list(self._clients):
+                if connection.stale(now - LINGER_S):
+                    connection.abort()
+                elif connection.idle and connection.stale(now - DRAIN_QUIET_S):
+                    connection.close()
