Keep each waiting attempt its own connection; read headers in one pass

Seen in review: a connection that came up served the attempt that had waited longest, not its own (Pool.offer); if that older one's connection then failed, the younger was left waiting with none coming up, to end as a time-out that "may have run" though it was never written. Checked: a freed connection still serves the longest waiting; a peer that hangs up at once leaves nobody waiting (tests over loopback). Seen in the profile: 14% of a request's CPU in Reader.read, most of it in the loop over headers, and 3% in a second look at a connection that is looked at again when it is handed out. Conclusion: dict() reads the headers, duplicates are looked for only where the lengths differ.

--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -9,7 +9,7 @@
 from loopback import Peer, Script, answer, request, run, sends, silence, until, world
 
 from tamarindfold.interface import Outcome
-from troutdock.backends import Attempt, Backends
+from troutdock.backends import Attempt, Backends, Pool
 from troutdock.http1 import MAX_BODY, Response
 
 PAYLOAD = b"POST /vat-filing HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
@@ -155,6 +155,60 @@
     run(test())
 
 
+def test_a_connection_that_comes_free_serves_the_attempt_that_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        peer = Peer(silence)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        first = outcomes.start()
+        await until(lambda: len(peer.requests) == 1)
+
+        async def never_up(pool: Pool, attempt: Attempt) -> None:
+            pass
+
+        monkeypatch.setattr(Pool, "_open", never_up)
+        second = outcomes.start()
+        peer.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await until(lambda: first.over and second.connection is not None)
+        outcomes.backends._pools[1]._not_up(second)  # its own connection fails in vain
+        await until(lambda: len(peer.requests) == 2)
+        assert peer.connections == 1 and not second.over
+        peer.stop()
+    run(test())
+
+
+def test_each_waiting_attempt_keeps_the_connection_that_comes_up_for_it() -> None:
+    """Found in review: one that served an older attempt left its own waiting, if the other then failed."""
+    async def test() -> None:
+        peer = Peer(answer())
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        pool = outcomes.backends._pools[1]
+        first = Attempt(None, 0, 1, PAYLOAD, 0.0)
+        pool.waiting.append(first)  # its connection has not come up yet
+        assert (await outcomes.outcome())[0] is Outcome.OK
+        pool._not_up(first)
+        await until(lambda: first.over)
+        assert [o for a, o, _ in outcomes.ended if a is first] == [Outcome.OK]
+        assert peer.connections == 1
+        peer.stop()
+    run(test())
+
+
+def test_a_peer_that_hangs_up_at_once_leaves_no_attempt_waiting() -> None:
+    async def test() -> None:
+        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort()
+
+        server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+        outcomes = Outcomes(server.sockets[0].getsockname()[1])
+        for _ in range(20):
+            assert (await outcomes.outcome())[0] in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        assert outcomes.backends.open == 0
+        server.close()
+    run(test())
+
+
 def test_an_attempt_given_up_closes_its_connection() -> None:
     async def test() -> None:
         peer = Peer(silence)
--- a/troutdock/backends.py
+++ b/troutdock/backends.py
@@ -166,8 +166,17 @@
                 self._backends.open -= 1
                 if sock is not None:
                     sock.close()
-        if connection is not None:
+        if connection is None:
+            return
+        # its own attempt first: guards against one left waiting with no connection coming up for it
+        if attempt not in self.waiting:
             self.offer(connection)
+        elif connection.usable():
+            self.waiting.remove(attempt)
+            connection.start(attempt)
+        else:
+            connection.close()
+            self._not_up(attempt)
 
     def _not_up(self, attempt: Attempt) -> None:
         if attempt in self.waiting:  # else another connection has come free for it
@@ -176,12 +185,9 @@
 
     def offer(self, connection: Connection) -> None:
         """A connection is free: the attempt that has waited longest gets it."""
-        while self.waiting and connection.usable():
-            attempt = self.waiting.popleft()
-            if not attempt.over:
-                connection.start(attempt)
-                return
-        if self.retired or not connection.usable():
+        if self.waiting and connection.usable():
+            connection.start(self.waiting.popleft())
+        elif self.retired:
             connection.close()
         else:
             connection.idle_since = asyncio.get_running_loop().time()
--- a/troutdock/request.py
+++ b/troutdock/request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from tamarindfold.interface import Effect, RequestArrived, Settings
 
@@ -18,7 +18,7 @@
 _NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
                             b"transfer-encoding", b"expect", b"content-length", b"request-timeout"))
 
-Headers = Iterable[tuple[bytes, bytes]]
+Headers = Sequence[tuple[bytes, bytes]]  # names in lower case
 
 
 class BadRequest(Exception):
@@ -54,10 +54,12 @@
 
     def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> Request:
         """The request; BadRequest if any part of it is missing or senseless."""
-        seen: dict[bytes, bytes] = {}
-        for name, value in headers:
-            if name in _READ and seen.setdefault(name, value) is not value:
-                raise BadRequest(400, f"{name.decode()} comes twice")
+        seen = dict(headers)
+        if len(seen) < len(headers):
+            names = [name for name, _ in headers]
+            for name in _READ:
+                if names.count(name) > 1:
+                    raise BadRequest(400, f"{name.decode()} comes twice")
         path = url.partition(b"?")[0]
         cut = path.find(b"/", 1)
         cls, effect = self._classes.get(path if cut < 0 else path[:cut], (-1, None))
@@ -96,9 +98,8 @@
 def _forwarded_head(method: bytes, url: bytes, headers: Headers, length: int) -> bytes:
     """Request line and end-to-end headers, unchanged; the length only where a body may come."""
     dropped = _NOT_FORWARDED
-    for name, value in headers:
-        if name == b"connection" and value.lower() not in (b"keep-alive", b"close"):
-            dropped |= {part.strip().lower() for part in value.split(b",")} - _READ
+    if named := b",".join([value for name, value in headers if name == b"connection"]):
+        dropped |= {part.strip().lower() for part in named.split(b",")} - _READ
     lines = [b"%b %b HTTP/1.1" % (method, url)]
     lines += [b"%b: %b" % pair for pair in headers if pair[0] not in dropped]
     if method != b"GET":
