--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -20,7 +20,9 @@
 
 log = logging.getLogger("troutdock")
 
-MARGIN_MS = 20.0  # before the client's deadline: the way back, and a loop that is busy just then
+# Before the client's deadline. Measured: 99 of 100 answers leave 0.4 to 0.7 ms after the backend's, 2 ms at worst
+# (first run, and with a profiler beside it); the rest is for the way from and to the client, and a busy loop.
+MARGIN_MS = 20.0
 OTHER_SOCKETS = 48  # of the process: listening, discovery, counter, event loop, standard streams
 PASSED_ON = (b"content-type", b"content-encoding")
 
