Hold the tasks that start clients' connections

Seen in review: Server._accept made a task for each accepted socket and kept no reference to it; the event loop holds tasks only weakly, so one could be collected before its connection was up, and the client would get no answer. Conclusion: the server holds them, and looks at the door again when one ends.

--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -206,7 +206,7 @@
         self._max_clients = max_clients
         self._loop = asyncio.get_running_loop()
         self._clients: dict[ClientConnection, None] = {}
-        self._starting = 0
+        self._starting: set[asyncio.Task[None]] = set()  # held here, as the loop holds tasks only weakly
         self._last_accept = 0.0
         self._accepting = False
         self._listener: socket.socket
@@ -233,7 +233,7 @@
 
     def _accept(self) -> None:
         while True:
-            full = len(self._clients) + self._starting >= self._max_clients
+            full = len(self._clients) + len(self._starting) >= self._max_clients
             idle = self._longest_idle() if full else None
             if full and idle is None:
                 self._pause()  # the kernel's queue holds the rest until a connection ends
@@ -254,8 +254,9 @@
                 idle.close()
             sock.setblocking(False)
             self._last_accept = time.monotonic()
-            self._starting += 1
-            self._loop.create_task(self._start(sock))
+            task = self._loop.create_task(self._start(sock))
+            self._starting.add(task)
+            task.add_done_callback(self._started)
 
     async def _start(self, sock: socket.socket) -> None:
         try:
@@ -263,8 +264,10 @@
             self._clients[connection] = None
         except OSError:
             sock.close()
-        finally:
-            self._starting -= 1
+
+    def _started(self, task: asyncio.Task[None]) -> None:
+        self._starting.discard(task)
+        self._resume()  # for a moment the connection counted twice
 
     def _longest_idle(self) -> ClientConnection | None:
         return min((c for c in self._clients if c.idle), key=lambda c: c.active, default=None)
