Send a second copy for an overdue attempt, and blame a silent connection instead of its backend

Some four silent attempts are out at an ingress at any time, and each made its backend look as slow as its age: four of nine. 555 first tries (4%) were refused for the fleet's sake, in bursts. Ruled out: connects. Retries were never short (at least 9 of 10 saved up). Time to the first byte makes up the whole time of an answer; a new connection costs some 7 ms. Lines: ingress._send (no time-out of an attempt), Gateway.forecast (age of the oldest), Gateway.learn (DREAD, and the fleet's slowness moved, by one silent connection).

Now an attempt of a repeatable class is overdue after 4 times what is expected of it (on the trace that is 93 ms, and 4 in 1,000 good answers take longer); a copy then goes elsewhere and the first may still answer. Silence counts from the backend's last answer on any connection. The copy needs patience and a saved-up retry, and the time grows with the fleet's slowness, so that a slow fleet gets no storm.

Dropped: a copy measured against the aim like a first try: keyed requests got none once their aim had passed.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from tamarindfold.interface import (
-    Actions, AttemptEnded, BackendEntry, BackendState, Count, CountAnswered, Effect, Event, Fail,
+    Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
-    RequestWithdrawn, Send, Settings,
+    RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
 )
 
 # ---- tuned constants
@@ -33,7 +33,8 @@
 BLAME, DREAD = 0.3, 10.0  # how far a bad or a rare sign moves a backend, toward what
 LEAP = 1.5  # of what the fleet is held for: a sign counts for that and one more at most
 NEWS_MS = 100.0  # without a sign from the fleet for so long, a backend with nothing from here gets a request
-BROKEN = 3.0  # in place of that for a reset: it may be one spoilt answer
+BROKEN = 3.0  # in place of that where one connection or one spoilt answer may be to blame
+OVERDUE = 4.0  # of what an attempt is expected to take: by then a second copy goes elsewhere
 FORGIVE_MS, TOUCHES = 3000.0, 2.0  # a sign fades to a third in this time, or in so many times between signs
 TIE = 1.15  # backends within this factor of the best are as good: choose at random, so that no herd forms
 NEAR, LOOK = 5, 16  # backends that a gateway keeps to, so that it knows them; and compares for one send
@@ -140,7 +141,8 @@
         return max(0.0, level - full)
 
 
-Sent = tuple[float, float, float, int]  # an attempt that is out: when, work, pile it met, class
+# an attempt that is out: when, work, pile it met, class, when it is overdue
+Sent = tuple[float, float, float, int, float]
 
 
 class Backend:
@@ -150,6 +152,7 @@
         self.entry, self.load = entry, 0.0  # work outstanding from here
         self.out: dict[tuple[int, int], Sent] = {}
         self.slowness = [Slowness() for _ in range(classes)]
+        self.heard_at = -inf  # its last answer, on any connection
         self.cold_turn, self.cold_left = -1.0, 0.0  # the work it may still get in this window
 
     def warmth(self, now: float, settings: Settings) -> float:
@@ -167,6 +170,7 @@
         self.event, self.cls, self.customer, self.work = event, cls, customer, work
         self.give_up, self.aim = now + event.time_left_ms, now + min(cls.aim_ms, event.time_left_ms)
         self.tried: list[Backend] = []
+        self.out: list[int] = []  # the attempts that have not ended
         self.may_have_run = False
         self.ran_group: tuple[Group, int] | None = None
         self.ran_until = inf
@@ -193,7 +197,7 @@
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
-            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn}
+            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, TimerFired: self.overdue}
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -372,10 +376,14 @@
         return [self.backends[ring[(start + i) % len(ring)]] for i in picked]
 
     def forecast(self, now: float, backend: Backend, call: Call) -> float:
-        """Expected time of a send to this backend; silence bounds it from below."""
+        """Expected time of a send to this backend; silence bounds it from below.
+
+        One attempt without an answer is no silence while others are answered: its connection may be dead and
+        the backend sound. It could hurt where a backend starves only some requests; they fall overdue.
+        """
         drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
-        return max(call.work * drag * self.pile(now, backend), now - sent_at - own)
+        return max(call.work * drag * self.pile(now, backend), now - max(sent_at + own, backend.heard_at))
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
@@ -399,7 +407,8 @@
         fleet = self.slowness.now(now)  # one bad backend is no sign of a pressed fleet
         drag = min(fleet, best.slowness[call.event.cls].now(now, fleet))
         wait = drag * self.mean_work * self.pile(now, best)
-        late = (wait + call.work - self.mean_work) / max(1.0, call.aim - now) if patience < inf else 0.0
+        first = patience < inf and not call.tried
+        late = (wait + call.work - self.mean_work) / max(1.0, call.aim - now) if first else 0.0
         over = max(1.0, wait / patience, late)
         if over > 1 and not best.out and now - self.slowness.at > NEWS_MS and call.work < call.aim - now:
             return best  # nobody would learn that the jam is over if all were refused
@@ -414,13 +423,40 @@
 
     def send(self, now: float, call: Call, backend: Backend) -> None:
         """Start an attempt and remember what it may do."""
-        pile = self.pile(now, backend)
-        backend.out[call.event.request, len(call.tried)] = now, call.work, pile, call.event.cls
+        pile, number = self.pile(now, backend), len(call.tried)
+        due = OVERDUE * max(1.0, self.slowness.now(now)) * (self.mean_work * pile + call.work)
+        backend.out[call.event.request, number] = now, call.work, pile, call.event.cls, now + due
+        call.out.append(number)
         backend.load += call.work
         backend.cold_left -= call.work
         self.mean_work += (call.work - self.mean_work) * (1 - KEEP) / 2
         call.tried.append(backend)
         self.actions.append(Send(call.event.request, backend.entry.backend))
+        self.watch(now, call, due)
+
+    def watch(self, now: float, call: Call, due: float) -> None:
+        """Have a look at the attempt sent last once it is overdue, where another could follow then."""
+        most, number = self.settings.max_attempts, len(call.tried)
+        repeatable = call.cls.effect is not Effect.UNSAFE and self.settings.second_copies
+        if repeatable and number < most and now + due < call.give_up:
+            self.actions.append(SetTimer(due, call.event.request * most + number - 1))
+
+    def overdue(self, now: float, event: TimerFired) -> None:
+        """Guards against an answer that never comes or stops half way, with its connection left open.
+
+        A second copy goes elsewhere while the first may still answer. It covers a backend that stands still
+        or has vanished too. Where the whole fleet is slow, copies would only add to the load: the time grows
+        with its slowness, they need patience like any first try, and further attempts are rationed.
+        """
+        request, number = divmod(event.label, self.settings.max_attempts)
+        call = self.calls.get(request)
+        if call is None or number not in call.out or number != len(call.tried) - 1:
+            return
+        sent_at, *_, due = call.tried[number].out.get((request, number), (now, now + NEWS_MS))
+        self.may_run(call, number, sent_at)
+        self.again(now, call, self.patience(call.event.cls))
+        if number == len(call.tried) - 1:
+            self.watch(now, call, due - sent_at)
 
     def ended(self, now: float, event: AttemptEnded) -> None:
         """Learn from the outcome, then answer the request or try again as far as its class allows."""
@@ -441,25 +477,36 @@
             call.customer.unit_squares += units * units
             call.customer.tokens -= units - call.event.units
             call.customer.debt += units - call.event.units
+        if event.attempt in call.out:
+            call.out.remove(event.attempt)
         if event.over:
+            self.actions += [Cancel(event.request, n) for n in call.out if self.settings.cancel]
             return self.withdrawn(now, event)
         if not event.outcome.never_ran:
-            call.may_have_run = True
-            if call.cls.effect is Effect.KEYED and call.ran_group is None:
-                call.ran_group = self.group(call.tried[event.attempt], call.cls)
-                call.ran_until = now - event.elapsed_ms + call.cls.window_ms
-        self.again(now, call)
-
-    def again(self, now: float, call: Call) -> None:
+            self.may_run(call, event.attempt, now - event.elapsed_ms)
+        if not call.out or event.attempt == len(call.tried) - 1:  # else the copy sent last goes on
+            self.again(now, call)
+
+    def may_run(self, call: Call, number: int, sent_at: float) -> None:
+        """An attempt may have run, or may yet: a keyed request then keeps to the group that knows it."""
+        call.may_have_run = True
+        if call.cls.effect is Effect.KEYED and call.ran_group is None:
+            call.ran_group = self.group(call.tried[number], call.cls)
+            call.ran_until = sent_at + call.cls.window_ms
+
+    def again(self, now: float, call: Call, patience: float = inf) -> None:
         """The one table of further attempts: by effect, and by what may have run."""
         safe, keyed = call.cls.effect is Effect.SAFE, call.cls.effect is Effect.KEYED
         harmless = safe or not call.may_have_run
         allowed = harmless or (keyed and now < call.ran_until - REACH_MS)
         refusable = harmless or (keyed and call.cls.group is Group.ALL)
         more = len(call.tried) < self.settings.max_attempts and now < call.give_up - self.settings.tick_ms
-        if allowed and more and self.retries >= 1 and (backend := self.choose(now, call)) is not None:
+        may = allowed and more and self.retries >= 1
+        if may and (backend := self.choose(now, call, patience)) is not None:
             self.retries -= 1
             return self.send(now, call, backend)
+        if call.out:
+            return  # what is out may still answer
         if refusable:
             return self.refuse(now, call)
         self.actions.append(Fail(call.event.request))
@@ -467,18 +514,22 @@
 
     def learn(self, now: float, backend: Backend, event: AttemptEnded, sent: Sent) -> None:
         """Every kind of sign moves one measure; what came of a request's run tells of its class only."""
-        _, work, pile, cls = sent
+        sent_at, work, pile, cls, due = sent
         took = event.elapsed_ms / pile / work
         fleet = self.slowness.now(now)
+        heard = backend.heard_at > sent_at  # then one connection may be silent, but not the backend
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+            backend.heard_at = now
+        overdue = event.outcome is Outcome.CANCELLED and now > due
         if event.outcome is Outcome.OK:
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
             self.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+        elif overdue or event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             # it may fail just this class; a process that has died refuses new connections too
-            own = event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)
-            dread = DREAD if event.outcome is not Outcome.RESET else BROKEN
+            own = overdue or event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)
+            mild = overdue or event.outcome is Outcome.RESET or (heard and event.outcome is Outcome.TIMEOUT)
             for c in [cls] if own else range(len(self.unit_ms)):
-                backend.slowness[c].sign(now, max(dread, took), BLAME, fleet)
-        if event.outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
+                backend.slowness[c].sign(now, BROKEN if mild else max(DREAD, took), BLAME, fleet)
+        if event.outcome in (Outcome.OK, Outcome.FULL) or (event.outcome is Outcome.TIMEOUT and not heard):
             seen = DREAD / 2 if event.outcome is Outcome.FULL else took
             self.slowness.sign(now, min(seen, fleet * LEAP + 1), 1 - KEEP)
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -10,7 +10,8 @@
 
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
-    Action, AttemptEnded, Count, Event, Fail, FleetUpdate, Outcome, Refuse, RequestWithdrawn, Send,
+    Action, AttemptEnded, Cancel, Count, Event, Fail, FleetUpdate, Outcome, Refuse, RequestWithdrawn, Send,
+    SetTimer, TimerFired,
 )
 from troutdock.backends import Attempt, Backends
 from troutdock.config import Config
@@ -170,9 +171,13 @@
         if call.timer is not None:
             call.timer.cancel()
         for attempt in call.attempts:
-            if not attempt.over:
-                self.backends.give_up(attempt)
-                self._tell_end(call, attempt, Outcome.CANCELLED)
+            self._cancel(call, attempt)
+
+    def _cancel(self, call: Call, attempt: Attempt) -> None:
+        """Stop waiting for an attempt, if that has not ended."""
+        if not attempt.over:
+            self.backends.give_up(attempt)
+            self._tell_end(call, attempt, Outcome.CANCELLED)
 
     # ---- actions
 
@@ -198,6 +203,11 @@
                 self._answer(self._calls[number], 429, retry)
             case Fail(number):
                 self._answer(self._calls[number], 502)
+            case Cancel(number, index):
+                if (call := self._calls.get(number)) is not None:  # else all that is out ends with it
+                    self._cancel(call, call.attempts[index])
+            case SetTimer(after_ms, label):
+                self._loop.call_later(after_ms / 1000, self._handle, TimerFired(label))
             case Count(name, amount, ttl_ms):
                 if self.counter is None:
                     raise RuntimeError("the gateway calls a counter that the settings do not name")
