Keep only a quarter of the clients' places for connections between requests

A trace of the clients' connections shows 126 of them between requests with 2 busy from the third second on (128 is a third of the 384 descriptors, what clients may hold), then 160, at the bound of 168: each had asked once and stayed, some 2 s. While those were closed to make room (5.5 to 7 s) 500 requests a second came and were served; in between, 30 to 60. Ruled out: quotas, the counter and the fleet (no refusal for the fleet's sake, counter answers all in time, p99 of answers 189 ms), accepting (no pause, none waited), silent connections (replaced after 60 ms). Lines: server.ClientConnection.flush and Server._close_idle: nothing but IDLE_S, 10 s, bounded what stands idle.

Now at most a quarter of the places is kept for connections between requests, and the longest idle goes first.

--- a/tests/test_hold.py
+++ b/tests/test_hold.py
@@ -129,6 +129,27 @@
     run(test())
 
 
+def test_connections_between_requests_take_only_a_part_of_the_places() -> None:
+    """Found in incident r1a30be: clients that ask once and stay had filled what they may hold, and asked no more.
+
+    80 descriptors leave 16 places for clients. The one that asks again and again is never the longest idle.
+    """
+    async def test() -> None:
+        async with world(answer(), sockets=80) as w:
+            server, used = w.service._server, await w.client()
+            once = []
+            for number in range(0, 20, 2):
+                assert (await used.ask(request(number=number)))[0] == 200
+                once.append(await w.client())
+                assert (await once[-1].ask(request(number=number + 1)))[0] == 200
+            for client in once[:6]:
+                assert await client.reader.read() == b""  # closed in good order, with room for all of them
+            await until(lambda: len(server.idle) == len(server._clients) == 4)
+            assert (await once[-1].ask(request(number=50)))[0] == 200
+            assert (await used.ask(request(number=51)))[0] == 200
+    run(test())
+
+
 def test_an_id_of_an_open_request_is_refused_and_never_sent_on() -> None:
     async def test() -> None:
         async with world(silence) as w:
--- a/troutdock/server.py
+++ b/troutdock/server.py
@@ -25,6 +25,7 @@
 MAX_MESSAGE = 8 * MAX_BODY  # bytes of one message in all, chunk framing too
 MESSAGE_S = 2.0  # for a message, from its first byte on; for the first one, from the connection's start on
 IDLE_S = 10.0  # a client's connection between requests is closed after this
+IDLE_PART = 4  # at most one place in so many is kept for connections between requests
 LINGER_S = 1.0  # what a client still sends is read and dropped for so long, so that it can read its answer
 FRESH_S = 0.05  # a connection younger than this may be about to bring its request
 BACKLOG = 1024
@@ -140,7 +141,10 @@
                 return
         if not self._exchanges and not self._deaf:
             self.server.waiting.drop(self)
-            (self.server.waiting if self._begun else self.server.idle).add(self)
+            if self._begun:
+                self.server.waiting.add(self)
+            else:
+                self.server.rest(self)
         if self._paused and len(self._exchanges) < MAX_PIPELINED:
             self._paused = False
             self._transport.resume_reading()
@@ -270,6 +274,7 @@
         self.ingress, self.reader = ingress, reader
         self.draining = False
         self._max_clients = max_clients
+        self._max_idle = max(1, max_clients // IDLE_PART)
         self._loop = asyncio.get_running_loop()
         self._clients: dict[ClientConnection, None] = {}
         # each connection that owes no answer stands in one of these
@@ -372,11 +377,26 @@
             self.ending.drop(late)
             late.abort()
 
+    def rest(self, connection: ClientConnection) -> None:
+        """A connection has its answer; the one longest between requests goes where too many are.
+
+        Guards against clients that ask once and keep their connection: what they may hold is bounded too, and
+        with all of it standing idle they can ask nothing more, while places here are free. One that is used
+        again and again stays, as it is never the longest idle. It could hurt a crowd of clients that each
+        come back seldom, by a new connection for each request.
+        """
+        self.idle.add(connection)
+        if len(self.idle) > self._max_idle and (longest := self.idle.first()) is not None:
+            self._close(longest)
+
+    def _close(self, connection: ClientConnection) -> None:
+        self.idle.drop(connection)
+        self.ending.add(connection)
+        connection.close()
+
     def _close_idle(self, before: float) -> None:
         while (late := self.idle.first(before)) is not None:
-            self.idle.drop(late)
-            self.ending.add(late)
-            late.close()
+            self._close(late)
 
     async def drain(self) -> None:
         """Take what still comes, finish all that was taken, then close the door."""
