The library and the ASGI middleware on the engine; pools in the decision module

Need: a partner wants quotas and retries inside its own process. In guard mode the wrapped application is itself a node, and two of them must share a customer's quota but not each other's load or health.

Change: troutdock/library/ (an in-process ingress, deployments, facts, sharing by name within one loop) and troutdock/asgi/ (forward and guard, pure ASGI 3). An arrival may say that it gets one attempt at most. Stand-ins moved to tests/peers/.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Small applications that use troutdock."""
--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -145,13 +145,24 @@
 Sent = tuple[float, float, float, int, float]
 
 
+class Pool:
+    """Backends that take the same requests, and what this gateway knows of them as a whole."""
+
+    def __init__(self, classes: tuple[RequestClass, ...]) -> None:
+        self.rings: dict[tuple[Group, int], list[int]] = {(Group.ALL, 0): []}  # ready backends, by group
+        self.slowness = Slowness()  # of the fleet as a whole
+        self.retries = RETRY_MOST
+        self.unit_ms = [cls.aim_ms / 10 for cls in classes]  # time a unit takes on an idle backend
+        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
+
+
 class Backend:
     """What this gateway knows of one backend."""
 
-    def __init__(self, entry: BackendEntry, classes: int) -> None:
-        self.entry, self.load = entry, 0.0  # work outstanding from here
+    def __init__(self, entry: BackendEntry, pool: Pool) -> None:
+        self.entry, self.pool, self.load = entry, pool, 0.0  # work outstanding from here
         self.out: dict[tuple[int, int], Sent] = {}
-        self.slowness = [Slowness() for _ in range(classes)]
+        self.slowness = [Slowness() for _ in pool.unit_ms]
         self.heard_at = -inf  # its last answer, on any connection
         self.cold_turn, self.cold_left = -1.0, 0.0  # the work it may still get in this window
 
@@ -166,8 +177,9 @@
     """A request not yet answered: what has been tried and what may have run."""
 
     def __init__(self, event: RequestArrived, cls: RequestClass, customer: Customer, now: float,
-                 work: float) -> None:
-        self.event, self.cls, self.customer, self.work = event, cls, customer, work
+                 pool: Pool, most: int) -> None:
+        self.event, self.cls, self.customer, self.pool, self.most = event, cls, customer, pool, most
+        self.work = pool.unit_ms[event.cls] * max(event.units, 0.01)
         self.give_up, self.aim = now + event.time_left_ms, now + min(cls.aim_ms, event.time_left_ms)
         self.tried: list[Backend] = []
         self.out: list[int] = []  # the attempts that have not ended
@@ -186,12 +198,9 @@
         self.customers: dict[int, Customer] = {}
         self.counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}  # calls not answered
         self.calls: dict[int, Call] = {}
-        self.rings: dict[tuple[Group, int], list[int]] = {(Group.ALL, 0): []}  # ready backends, by group
-        self.slowness = Slowness()  # of the fleet as a whole
-        self.asking, self.retries = ASK_FIRST, RETRY_MOST
+        self.pools = {0: Pool(settings.classes)}
+        self.asking = ASK_FIRST
         self.crowded_at = -inf  # the last sign of a crowded counter
-        self.unit_ms = [cls.aim_ms / 10 for cls in settings.classes]  # time a unit takes on an idle backend
-        self.mean_work = sum(self.unit_ms) / len(self.unit_ms)
         self.forget_ms = max([FORGET_MS] + [1000 * full / rate for p in settings.plans for full, rate in
                                             ((p.burst, p.rate), (p.ceiling_burst, p.ceiling_rate)) if rate])
         self.started = inf  # when the first event came
@@ -230,11 +239,13 @@
     def arrived(self, now: float, event: RequestArrived) -> None:
         """The bucket decides; what it cannot tell is asked, what it refuses gets a return time."""
         customer, marks = self.customer(now, event), self.settings.marks_retry
-        plan, work = customer.plan, self.unit_ms[event.cls] * max(event.units, 0.01)
-        call = self.calls[event.request] = Call(event, self.settings.classes[event.cls], customer, now, work)
+        plan, pool = customer.plan, self.pool(event.pool)
+        most = event.max_attempts or self.settings.max_attempts
+        call = Call(event, self.settings.classes[event.cls], customer, now, pool, most)
+        self.calls[event.request] = call
         if event.retry and marks and customer.appointments:
             customer.appointments.popleft()
-        self.retries = min(RETRY_MOST, self.retries + RETRY_PART)
+        pool.retries = min(RETRY_MOST, pool.retries + RETRY_PART)
         room = not plan.ceiling_rate or customer.cap_tokens >= event.units
         kept = RESERVE * plan.burst * customer.share if marks and not event.retry else 0.0
         if room and (not plan.rate or customer.tokens - kept >= event.units):
@@ -256,7 +267,7 @@
     def admit(self, now: float, call: Call, inside: bool, counted: bool = False) -> None:
         """Send what the quota lets pass, unless the fleet is pressed."""
         event, customer = call.event, call.customer
-        backend = self.choose(now, call, self.patience(event.cls) * (1.0 if inside else SPARE_PATIENCE))
+        backend = self.choose(now, call, self.patience(call) * (1.0 if inside else SPARE_PATIENCE))
         if backend is None:
             customer.debt -= event.units if counted else 0.0
             return self.refuse(now, call)
@@ -335,40 +346,48 @@
 
     def fleet(self, now: float, event: FleetUpdate) -> None:
         """Follow the list; what it does not name as ready gets nothing new from this moment on."""
+        pool = self.pool(event.pool)
         if event.kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.backend: entry for entry in event.entries}
-            for gone in [n for n in self.backends if n not in named]:
-                self.place(self.backends.pop(gone).entry, False)
+            for gone in [n for n, b in self.backends.items() if b.pool is pool and n not in named]:
+                self.place(self.backends.pop(gone), False)
         for entry in event.entries:
             if (known := self.backends.pop(entry.backend, None)) is not None:
-                self.place(known.entry, False)
+                self.place(known, False)
             if known is None or entry.up_since_ms > known.entry.up_since_ms:
-                known = Backend(entry, len(self.unit_ms))
+                known = Backend(entry, pool)
             known.entry = entry
             if entry.state is not BackendState.GONE:
                 self.backends[entry.backend] = known
-                self.place(entry, entry.state is BackendState.READY)
+                self.place(known, entry.state is BackendState.READY)
+
+    def pool(self, number: int) -> Pool:
+        """The pool of that number, made when it is first heard of."""
+        if (known := self.pools.get(number)) is None:
+            known = self.pools[number] = Pool(self.settings.classes)
+        return known
 
-    def place(self, entry: BackendEntry, ready: bool) -> None:
+    def place(self, backend: Backend, ready: bool) -> None:
         """Keep the rings of ready backends, for each group that drops its repeats."""
+        entry, rings = backend.entry, backend.pool.rings
         for key in ((Group.ALL, 0), (Group.ZONE, entry.zone), (Group.CELL, entry.cell)):
-            ring = self.rings.setdefault(key, [])
+            ring = rings.setdefault(key, [])
             at = bisect_left(ring, entry.backend)
             there = ring[at:at + 1] == [entry.backend]
             ring[at:at + there] = [entry.backend] * ready
             if not ring and key[0] is not Group.ALL:
-                del self.rings[key]
+                del rings[key]
 
-    def patience(self, number: int) -> float:
-        """The wait that this class may meet: long-aimed cheap work must not fill a pressed fleet."""
-        classes = self.settings.classes
-        worth = [c.worth / ms for c, ms in zip(classes, self.unit_ms, strict=True)]
+    def patience(self, call: Call) -> float:
+        """The wait that its class may meet: long-aimed cheap work must not fill a pressed fleet."""
+        classes, number = self.settings.classes, call.event.cls
+        worth = [c.worth / ms for c, ms in zip(classes, call.pool.unit_ms, strict=True)]
         aim = min(c.aim_ms for c, w in zip(classes, worth, strict=True) if w >= worth[number])
         return aim * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth[number] / max(worth))
 
     def pile(self, now: float, backend: Backend) -> float:
         """What stands there from here and a request more, as a warm backend of size one would feel it."""
-        able = self.mean_work * (backend.entry.size or 1) * backend.warmth(now, self.settings)
+        able = backend.pool.mean_work * (backend.entry.size or 1) * backend.warmth(now, self.settings)
         return 1 + backend.load / able
 
     def width(self, ready: int) -> int:
@@ -377,7 +396,7 @@
 
     def near(self, call: Call) -> list[Backend]:
         """This gateway's part of the ready backends, or of the group that drops a repeat."""
-        ring = self.rings.get(call.ran_group or (Group.ALL, 0), [])
+        ring = call.pool.rings.get(call.ran_group or (Group.ALL, 0), [])
         width, start = self.width(len(ring)), self.settings.index * len(ring) // self.settings.gateways
         picked = range(width) if width <= LOOK else self.random.sample(range(width), LOOK)
         return [self.backends[ring[(start + i) % len(ring)]] for i in picked]
@@ -388,19 +407,20 @@
         One attempt without an answer is no silence while others are answered: its connection may be dead and
         the backend sound. It could hurt where a backend starves only some requests; they fall overdue.
         """
-        drag = backend.slowness[call.event.cls].now(now, self.slowness.now(now))
+        drag = backend.slowness[call.event.cls].now(now, call.pool.slowness.now(now))
         sent_at, own, *_ = next(iter(backend.out.values()), (now, 0.0))
         return max(call.work * drag * self.pile(now, backend), now - max(sent_at + own, backend.heard_at))
 
     def cold_room(self, now: float, backend: Backend, work: float) -> bool:
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
         # it does one request at a time at least; a part below one request is rounded by chance
-        s, warmth, ready = self.settings, backend.warmth(now, self.settings), len(self.rings[Group.ALL, 0])
+        s, pool, warmth = self.settings, backend.pool, backend.warmth(now, self.settings)
         if warmth < 1 and backend.cold_turn != now // s.overload_ms:
             backend.cold_turn = now // s.overload_ms
+            ready = len(pool.rings[Group.ALL, 0])
             users = max(1.0, s.gateways * self.width(ready) / max(1, ready))
             budget = COLD_PART * s.fall_multiple * warmth * s.overload_ms / users
-            backend.cold_left = budget + self.random.random() * self.mean_work
+            backend.cold_left = budget + self.random.random() * pool.mean_work
         return warmth >= 1 or backend.cold_left >= work
 
     def choose(self, now: float, call: Call, patience: float = inf) -> Backend | None:
@@ -411,13 +431,14 @@
             return None
         least = min(f for f, _ in rated)
         best = self.random.choice([b for f, b in rated if f <= least * TIE])
-        fleet = self.slowness.now(now)  # one bad backend is no sign of a pressed fleet
+        pool = call.pool
+        fleet = pool.slowness.now(now)  # one bad backend is no sign of a pressed fleet
         drag = min(fleet, best.slowness[call.event.cls].now(now, fleet))
-        wait = drag * self.mean_work * self.pile(now, best)
+        wait = drag * pool.mean_work * self.pile(now, best)
         first = patience < inf and not call.tried
-        late = (wait + call.work - self.mean_work) / max(1.0, call.aim - now) if first else 0.0
+        late = (wait + call.work - pool.mean_work) / max(1.0, call.aim - now) if first else 0.0
         over = max(1.0, wait / patience, late)
-        if over > 1 and not best.out and now - self.slowness.at > NEWS_MS and call.work < call.aim - now:
+        if over > 1 and not best.out and now - pool.slowness.at > NEWS_MS and call.work < call.aim - now:
             return best  # nobody would learn that the jam is over if all were refused
         return best if self.random.random() <= over ** -RESOLVE else None
 
@@ -430,13 +451,13 @@
 
     def send(self, now: float, call: Call, backend: Backend) -> None:
         """Start an attempt and remember what it may do."""
-        pile, number = self.pile(now, backend), len(call.tried)
-        due = OVERDUE * max(1.0, self.slowness.now(now)) * (self.mean_work * pile + call.work)
+        pool, pile, number = call.pool, self.pile(now, backend), len(call.tried)
+        due = OVERDUE * max(1.0, pool.slowness.now(now)) * (pool.mean_work * pile + call.work)
         backend.out[call.event.request, number] = now, call.work, pile, call.event.cls, now + due
         call.out.append(number)
         backend.load += call.work
         backend.cold_left -= call.work
-        self.mean_work += (call.work - self.mean_work) * (1 - KEEP) / 2
+        pool.mean_work += (call.work - pool.mean_work) * (1 - KEEP) / 2
         call.tried.append(backend)
         self.actions.append(Send(call.event.request, backend.entry.backend))
         self.watch(now, call, due)
@@ -445,7 +466,7 @@
         """Have a look at the attempt sent last once it is overdue, where another could follow then."""
         most, number = self.settings.max_attempts, len(call.tried)
         repeatable = call.cls.effect is not Effect.UNSAFE and self.settings.second_copies
-        if repeatable and number < most and now + due < call.give_up:
+        if repeatable and number < call.most and now + due < call.give_up:
             self.actions.append(SetTimer(due, call.event.request * most + number - 1, call.event.request))
 
     def overdue(self, now: float, event: TimerFired) -> None:
@@ -461,7 +482,7 @@
             return
         sent_at, *_, due = call.tried[number].out.get((request, number), (now, now + NEWS_MS))
         self.may_run(call, number, sent_at)
-        self.again(now, call, self.patience(call.event.cls))
+        self.again(now, call, self.patience(call))
         if number == len(call.tried) - 1:
             self.watch(now, call, due - sent_at)
 
@@ -507,10 +528,10 @@
         harmless = safe or not call.may_have_run
         allowed = harmless or (keyed and now < call.ran_until - REACH_MS)
         refusable = harmless or (keyed and call.cls.group is Group.ALL)
-        more = len(call.tried) < self.settings.max_attempts and now < call.give_up - self.settings.tick_ms
-        may = allowed and more and self.retries >= 1
+        more = len(call.tried) < call.most and now < call.give_up - self.settings.tick_ms
+        may = allowed and more and call.pool.retries >= 1
         if may and (backend := self.choose(now, call, patience)) is not None:
-            self.retries -= 1
+            call.pool.retries -= 1
             return self.send(now, call, backend)
         if call.out:
             return  # what is out may still answer
@@ -522,21 +543,21 @@
     def learn(self, now: float, backend: Backend, event: AttemptEnded, sent: Sent) -> None:
         """Every kind of sign moves one measure; what came of a request's run tells of its class only."""
         sent_at, work, pile, cls, due = sent
-        took = event.elapsed_ms / pile / work
-        fleet = self.slowness.now(now)
+        took, pool = event.elapsed_ms / pile / work, backend.pool
+        fleet = pool.slowness.now(now)
         heard = backend.heard_at > sent_at  # then one connection may be silent, but not the backend
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             backend.heard_at = now
         overdue = event.outcome is Outcome.CANCELLED and now > due
         if event.outcome is Outcome.OK:
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
-            self.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
+            pool.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
         elif overdue or event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             # it may fail just this class; a process that has died refuses new connections too
             own = overdue or event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)
             mild = overdue or event.outcome is Outcome.RESET or (heard and event.outcome is Outcome.TIMEOUT)
-            for c in [cls] if own else range(len(self.unit_ms)):
+            for c in [cls] if own else range(len(pool.unit_ms)):
                 backend.slowness[c].sign(now, BROKEN if mild else max(DREAD, took), BLAME, fleet)
         if event.outcome in (Outcome.OK, Outcome.FULL) or (event.outcome is Outcome.TIMEOUT and not heard):
             seen = DREAD / 2 if event.outcome is Outcome.FULL else took
-            self.slowness.sign(now, min(seen, fleet * LEAP + 1), 1 - KEEP)
+            pool.slowness.sign(now, min(seen, fleet * LEAP + 1), 1 - KEEP)
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -177,16 +177,20 @@
 
 @dataclass(slots=True)
 class FleetUpdate:
-    """News from the list of backends."""
+    """News from the list of a pool's backends; a backend belongs to one pool."""
 
     kind: ListKind
     entries: list[BackendEntry]
     version: int = 0
+    pool: int = 0
 
 
 @dataclass(slots=True)
 class RequestArrived:
-    """A client's try; the gateway owes it one final answer within time_left_ms."""
+    """A client's try; the gateway owes it one final answer within time_left_ms.
+
+    pool: whose backends may take it. max_attempts: at most so many, 0 for as many as the settings say.
+    """
 
     request: int
     customer: int
@@ -197,6 +201,8 @@
     width: int
     time_left_ms: float
     retry: bool = False
+    pool: int = 0
+    max_attempts: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_outcomes.py
+++ b/tests/http/test_transport.py
@@ -1,4 +1,4 @@
-"""What came of an attempt: every row of the protocol's table, over loopback."""
+"""The transport of HTTP/1.1: what came of an attempt, and its connections, over loopback."""
 
 from __future__ import annotations
 
@@ -6,34 +6,13 @@
 import socket
 
 import pytest
-from loopback import Peer, Script, answer, request, run, sends, silence, until, world
+from outcomes import PAYLOAD, Outcomes
+from loopback import Peer, Script, answer, run, sends, silence, until
 
 from tamarindfold.interface import Outcome
-from troutdock.http.transport import REST_S, HttpTransport, Pool
+from troutdock.http.transport import REST_S, Pool
 from troutdock.http.transport import HttpAttempt as Attempt
-from troutdock.http.response import MAX_BODY, Response
-
-PAYLOAD = b"POST /vat-filing HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
-
-
-class Outcomes:
-    """A fleet of one backend and what its attempts came to."""
-
-    def __init__(self, port: int, max_open: int = 10, idle_s: float = 30.0) -> None:
-        self.ended: list[tuple[Attempt, Outcome, Response | None]] = []
-        self.backends = HttpTransport(max_open, 0.25, idle_s, lambda *end: self.ended.append(end))
-        self.backends.place(1, ("127.0.0.1", port))
-
-    def start(self, payload: bytes = PAYLOAD) -> Attempt:
-        attempt = Attempt(None, 0, 1, payload, 0.0)
-        self.backends.start(attempt)
-        assert not any(a is attempt for a, _, _ in self.ended)  # never within the call
-        return attempt
-
-    async def outcome(self, payload: bytes = PAYLOAD) -> tuple[Outcome, Response | None]:
-        attempt = self.start(payload)
-        await until(lambda: any(a is attempt for a, _, _ in self.ended))
-        return next((o, r) for a, o, r in self.ended if a is attempt)
+from troutdock.http.response import MAX_BODY
 
 
 NOT_STARTED = b"Not-Started: 1\r\n"
@@ -275,73 +254,6 @@
     run(test())
 
 
-# ---- the same through a whole ingress
-
-
-def test_a_served_answer_is_passed_on_unchanged() -> None:
-    async def test() -> None:
-        body = bytes(range(256)) * 200
-        async with world(answer(body, head=b"Billed-Units: 3\r\nContent-Type: x/y\r\n")) as w:
-            status, head, got = await w.ask(request("payment-book", Idempotency_Key="5c" * 16))
-            assert (status, got) == (200, body)
-            assert b"content-type: x/y" in head.lower()
-            (sent,) = w.backends[0].requests
-            assert sent.startswith(b"POST /payment-book/7?year=3 HTTP/1.1\r\n") and sent.endswith(b"\r\n\r\nreceipt")
-            lines = sent.lower().split(b"\r\n")
-            assert b"request-id: " + b"0" * 15 + b"1" in lines and b"idempotency-key: " + b"5c" * 16 in lines
-            (left,) = [float(line[17:]) for line in lines if line.startswith(b"request-timeout: ")]
-            assert 1.0 < left < 1.5
-    run(test())
-
-
-@pytest.mark.parametrize(("cls", "script", "status", "sent"), [
-    ("vat-filing", answer(b"", 500), 502, 1), ("vat-filing", sends(b""), 502, 1), ("vat-filing", answer(b"", 503), 502, 1),
-    ("vat-filing", answer(b"", 503, NOT_STARTED), 429, 3), ("ledger-read", answer(b"", 500), 429, 3),
-    ("payment-book", sends(b""), 429, 3),
-])
-def test_attempts_go_as_far_as_the_class_allows(cls: str, script: Script, status: int, sent: int) -> None:
-    async def test() -> None:
-        async with world(script, script, script, script) as w:
-            assert (await w.ask(request(cls)))[0] == status
-            assert sum(len(b.requests) for b in w.backends) == sent
-    run(test())
-
-
-@pytest.mark.parametrize(("cls", "status"), [("vat-filing", 502), ("ledger-read", 429), ("payment-book", 429)])
-def test_silence_is_answered_before_the_client_gives_up(cls: str, status: int) -> None:
-    async def test() -> None:
-        loop = asyncio.get_running_loop()
-        async with world(silence) as w:
-            began = loop.time()
-            assert (await w.ask(request(cls, Request_Timeout="0.400")))[0] == status
-            assert loop.time() - began < 0.4
-            await until(lambda: w.backends[0].closed == 1)
-            assert len(w.backends[0].requests) == 1  # nothing is tried in the last moment
-    run(test())
-
-
-def test_a_client_that_leaves_ends_its_attempt() -> None:
-    async def test() -> None:
-        async with world(silence) as w:
-            client = await w.client()
-            client.writer.write(request())
-            await until(lambda: bool(w.backends[0].requests))
-            client.writer.close()
-            await until(lambda: w.backends[0].closed == 1)
-    run(test())
-
-
-def test_a_refusal_says_when_to_come_back() -> None:
-    async def test() -> None:
-        async with world(answer()) as w:
-            client = await w.client()
-            told = [await client.ask(request(number=n, Plan="basis")) for n in range(6)]
-            refused = [head for status, head, _ in told if status == 429]
-            assert refused and len(w.backends[0].requests) == len(told) - len(refused)
-            assert all(float(h.split(b"Retry-After: ")[1].split(b"\r\n")[0]) > 0 for h in refused)
-    run(test())
-
-
 def test_a_backend_that_restarts_elsewhere_is_found_there() -> None:
     """Discovery may give a known backend a new address; nothing goes to the old one any more."""
     async def test() -> None:
--- a/tests/loopback.py
+++ b/tests/peers/loopback.py
@@ -5,13 +5,17 @@
 import asyncio
 import json
 import re
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
 import uvloop
 
+from tamarindfold import Gateway
 from troutdock.daemon import Service, serve
+from troutdock.engine import Engine
+from troutdock.library import Deployment, shared
 from troutdock.platform.config import read_config
 
 SETTINGS: dict[str, Any] = {
@@ -148,10 +152,16 @@
 class World:
     """A running ingress; what it is connected to can be stopped and changed."""
 
+    engine: Engine
+
     def __init__(self, stack: AsyncExitStack) -> None:
         self._stack = stack
         self.stop = asyncio.Event()
 
+    @property
+    def gateway(self) -> Gateway:
+        return self.engine._gateway
+
     async def client(self) -> Client:
         reader, writer = await asyncio.open_connection(*self.address)
         self._stack.callback(writer.close)
@@ -182,15 +192,61 @@
             stack.callback(w.counter.stop)
             config["counter"] = w.counter.address
             used["extra"]["has_counter"] = True
-        serving: asyncio.Future[Service] = asyncio.get_running_loop().create_future()
-        w.task = asyncio.create_task(serve(read_config(json.dumps(config)), w.stop, serving.set_result))
-        await asyncio.wait({w.task, serving}, return_when=asyncio.FIRST_COMPLETED)
-        w.service, w.config = await serving, config
-        w.address = w.service.address
-        stack.callback(w.task.cancel)
+        w.config = config
+        await FRONTS[front](w, stack, json.dumps(config))
         yield w
 
 
+async def daemon(w: World, stack: AsyncExitStack, config: str) -> None:
+    """The daemon itself, in this process."""
+    serving: asyncio.Future[Service] = asyncio.get_running_loop().create_future()
+    w.task = asyncio.create_task(serve(read_config(config), w.stop, serving.set_result))
+    await asyncio.wait({w.task, serving}, return_when=asyncio.FIRST_COMPLETED)
+    w.service = await serving
+    w.address, w.engine = w.service.address, w.service.ingress.engine
+    stack.callback(w.task.cancel)
+
+
+async def middleware(w: World, stack: AsyncExitStack, config: str) -> None:
+    """The example application on the middleware, served by uvicorn."""
+    from examples.forward_app import make_app
+
+    deployment = Deployment("rules", read_config(config))
+    await serve_app(w, stack, make_app(deployment))
+    ingress = await shared.join(deployment)  # the one that the middleware opened
+    stack.push_async_callback(shared.leave, ingress, 0.0)
+    w.engine = ingress.core.engine
+
+
+async def serve_app(w: World, stack: AsyncExitStack, app: Any, lifespan: str = "on") -> Any:
+    """An ASGI application on loopback, until the stack ends."""
+    import uvicorn
+
+    sock = socket.create_server(("127.0.0.1", 0))
+    stack.callback(sock.close)
+    server = uvicorn.Server(uvicorn.Config(app, lifespan=lifespan, log_config=None, access_log=False,
+                                           http="httptools", ws="none", timeout_graceful_shutdown=1))
+    w.task = asyncio.create_task(server.serve(sockets=[sock]))
+    w.address = sock.getsockname()
+
+    async def end() -> None:
+        server.should_exit = True
+        await asyncio.wait({w.task})
+
+    stack.push_async_callback(end)
+    await until(lambda: server.started or w.task.done())
+    if not server.started:
+        w.task.result()
+        raise RuntimeError("the application did not start")
+    w.server = server
+    return server
+
+
+Front = Callable[[World, AsyncExitStack, str], Coroutine[Any, Any, None]]
+FRONTS: dict[str, Front] = {"daemon": daemon, "middleware": middleware}
+front = "daemon"  # what world() puts between client and backends; conftest sets it from --front
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Wait for a condition; the test's own limit ends a wait in vain."""
     while not condition():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -109,7 +109,7 @@
     for n in range(2, 500):
         g.handle(START, fleet(n, kind=ListKind.FULL))
     assert list(g.backends) == [499]
-    assert sum(len(ring) for ring in g.rings.values()) == 3
+    assert sum(len(ring) for ring in g.pools[0].rings.values()) == 3
 
 
 def test_a_keyed_repeat_stays_in_its_group_after_its_backend_left_the_list() -> None:
--- a/tests/test_hold.py
+++ b/tests/test_hold.py
@@ -14,8 +14,9 @@
 import pytest
 from build import START, ended, fleet, settings
 from build import request as arrival
+from counting import Counting, read_call
 from loopback import SETTINGS, Peer, answer, request, run, sends, silence, target, until, world
-from test_service import ROOT, Counting, read_call
+from test_service import ROOT
 
 from tamarindfold import Gateway
 from tamarindfold.choice import Customer
@@ -173,9 +174,9 @@
         async with world(answer(), settings={"plans": [
                 {"name": "plus", "per_second": 0.01, "peak_units": 64.0, "price": 1, "over_worth": 0, "excess_cost": 0}]}) as w:
             gateway = w.service.ingress.engine._gateway
-            before = gateway.mean_work
+            before = gateway.pools[0].mean_work
             assert (await w.ask(request(Quota_Info=quota)))[0] == 400
-            assert gateway.mean_work == before and not gateway.customers
+            assert gateway.pools[0].mean_work == before and not gateway.customers
     run(test())
 
 
@@ -237,7 +238,7 @@
 def test_an_attempt_given_up_after_its_backend_moved_is_never_written() -> None:
     """Found by reading: it waited on in the pool that had been replaced, and was sent after its end."""
     async def test() -> None:
-        from test_outcomes import Outcomes
+        from outcomes import Outcomes
 
         peer = Peer(silence)
         await peer.start()
@@ -258,7 +259,7 @@
 
 def test_a_backend_that_has_started_anew_gets_new_connections() -> None:
     async def test() -> None:
-        from test_outcomes import Outcomes
+        from outcomes import Outcomes
 
         peer = Peer(answer())
         await peer.start()
@@ -382,7 +383,7 @@
         await until(lambda: len(served.requests) == 1)
         served.script = sends(one_line(served, "s-1", 3), close=False)
         await until(lambda: len(told) >= 2)
-        watch.stop()
+        await watch.stop()
         served.stop()
     run(test())
     assert "the watch has ended and is started anew" in caplog.text
@@ -451,7 +452,7 @@
     g = Gateway(settings(plans=(Plan(rate=2, burst=8),)), 1)
     for n in range(1, 100):
         g.handle(START, fleet(n))
-    assert len(g.rings) == 3
+    assert len(g.pools[0].rings) == 3
     for n in range(3000):
         g.handle(START + n * 100, arrival(n, customer=n))
     assert len(g.customers) <= 210
@@ -522,14 +523,14 @@
     g.handle(START, fleet(1, 2, 3, 4))
     (send,) = (a for a in g.handle(START, arrival(1)) if isinstance(a, Send))
     g.handle(START + 4000, ended(1, send.backend, Outcome.TIMEOUT, took=4000.0))
-    assert g.slowness.now(START + 4000) < 2
+    assert g.pools[0].slowness.now(START + 4000) < 2
 
 
 def test_a_pressed_fleet_is_asked_for_news() -> None:
     """With all refused no answer would tell that the jam is over."""
     g = Gateway(settings(plans=(Plan(rate=0, burst=0),)), 1)
     g.handle(START, fleet(1, 2, 3, 4))
-    g.slowness.sign(START, 50.0, 1.0)
+    g.pools[0].slowness.sign(START, 50.0, 1.0)
     sent = [any(isinstance(a, Send) for a in g.handle(START + 50 + n, arrival(n + 1))) for n in (0, 1, 60, 61)]
     assert sent[:2] == [False, False] and sent[2]
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,12 +12,12 @@
 from typing import Any
 
 import pytest
+from counting import Counting, read_call
 from loopback import SETTINGS, Client, Peer, answer, read_message, request, run, sends, silence, target, until, world
 
 from tamarindfold import wire
 from tamarindfold.interface import BackendState, CountAnswered, ListKind, Outcome
 from troutdock.platform.config import ConfigError, flatten, read_config
-from troutdock.platform.counter import Counter
 from troutdock.platform.discovery import ListReader, backend_id
 from troutdock.http.response import MAX_BODY
 
@@ -306,29 +306,6 @@
 # ---- the counter
 
 
-async def read_call(reader: asyncio.StreamReader) -> bytes:
-    """One RESP2 array of bulk strings."""
-    parts = []
-    for _ in range(int((await reader.readuntil())[1:])):
-        size = int((await reader.readuntil())[1:])
-        parts.append((await reader.readexactly(size + 2))[:-2])
-    return b" ".join(parts)
-
-
-class Counting:
-    """A counter's client and the answers it gave."""
-
-    def __init__(self, peer: Peer, timeout_s: float = 5.0) -> None:
-        self.answers: list[CountAnswered] = []
-        self.counter = Counter(("127.0.0.1", peer.port), timeout_s, self.answers.append)
-        self.tried = asyncio.Event()
-        self.task = asyncio.create_task(self.counter.run(self.tried))
-
-    async def outcomes(self, count: int) -> list[tuple[int, Outcome, float]]:
-        await until(lambda: len(self.answers) >= count)
-        return [(a.name, a.outcome, a.total) for a in self.answers]
-
-
 def test_calls_are_written_one_behind_another_and_answered_in_their_order() -> None:
     async def test() -> None:
         async def when_all_are_there(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -8,8 +8,8 @@
 import pytest
 from build import KEYED_ALL, SAFE, START, UNSAFE, ended, gateway
 from build import request as arrival
+from counting import Counting, read_call
 from loopback import SETTINGS, Peer, answer, request, run, silence, until, world
-from test_service import Counting, read_call
 
 from tamarindfold.interface import Cancel, Count, CountAnswered, Outcome, Plan, Refuse, Send, SetTimer, TimerFired
 
@@ -34,8 +34,8 @@
 
 def hasten(w: Any) -> None:
     """Let the gateway believe that work takes little: an attempt is overdue soon."""
-    w.service.ingress.engine._gateway.unit_ms = [5.0] * 3
-    w.service.ingress.engine._gateway.mean_work = 5.0
+    w.service.ingress.engine._gateway.pools[0].unit_ms = [5.0] * 3
+    w.service.ingress.engine._gateway.pools[0].mean_work = 5.0
 
 
 @pytest.mark.parametrize("cls", ["ledger-read", "payment-book"])
@@ -210,7 +210,7 @@
     assert timer is not None
     now = START + timer.after_ms
     copy = g.handle(now, TimerFired(timer.label))[0]
-    g.retries = 0.0
+    g.pools[0].retries = 0.0
     assert g.handle(now + 10, ended(1, copy.backend, Outcome.RESET, attempt=1, took=10)) == []
     (refused,) = g.handle(now + 20, ended(1, send.backend, Outcome.RESET, took=now + 20 - START))
     assert isinstance(refused, Refuse)
--- /dev/null
+++ b/troutdock/asgi/forward.py
@@ -0,0 +1,135 @@
+"""Forward mode: requests of the mounted paths go to ledger nodes, as the daemon sends them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from troutdock.asgi.base import FAILED, FactsOf, Middleware, answer, answer_bad, answer_refused
+from troutdock.asgi.scope import facts_from_headers, target_of
+from troutdock.asgi.types import App, Message, Receive, Scope, Send
+from troutdock.engine import BadRequest
+from troutdock.http.request import HttpRequest, Reader
+from troutdock.http.response import MAX_BODY
+from troutdock.library.deployment import Deployment
+from troutdock.library.local import IngressClosed, Refused, Served, Waiting, compose
+from troutdock.platform.config import ConfigError
+
+PASSED_ON = (b"content-type", b"content-encoding")
+
+
+async def no_app(scope: Scope, receive: Receive, send: Send) -> None:
+    """What is behind a forwarding application that stands alone: nothing."""
+    if scope["type"] == "http":
+        await answer(send, 404)
+    elif scope["type"] == "websocket":
+        await send({"type": "websocket.close", "code": 1000})
+    else:
+        raise NotImplementedError(scope["type"])
+
+
+class ForwardMiddleware(Middleware):
+    """Sends requests of the mounted paths to ledger nodes through the engine; all others reach the app.
+
+    app: the application behind; with none it stands alone, for a mount.
+    deployment: which nodes, plans and classes; instances of one name in a process share the quota counts.
+    paths: prefixes of paths, below the application's root, by whole parts; the first part below the root
+        must be the class's name. Default: every path.
+    facts: what a request is admitted on, sync or async; None from it lets the request reach the app.
+        Default: the protocol's headers, checked as the daemon does.
+    body_timeout_s: a request's body must be there so many seconds after its head. max_body: its bytes.
+    shutdown_grace_s: at the end, what has no answer after so long is failed; None: until its deadline.
+
+    ConfigError, when it is built, for a setting that can't be used.
+    """
+
+    def __init__(self, app: App = no_app, *, deployment: Deployment, paths: Sequence[str] = ("/",),
+                 facts: FactsOf | None = None, body_timeout_s: float = 2.0, max_body: int = MAX_BODY,
+                 shutdown_grace_s: float | None = None) -> None:
+        super().__init__(app, deployment, paths, facts, shutdown_grace_s)
+        if not 0 < body_timeout_s < 3600:
+            raise ConfigError(f"body_timeout_s: {body_timeout_s!r} is not a number of seconds up to 3,600")
+        if not 0 <= max_body <= MAX_BODY:
+            raise ConfigError(f"max_body: {max_body!r} is not a number of bytes up to {MAX_BODY}")
+        self._body_timeout_s, self._max_body = body_timeout_s, max_body
+        self._reader = Reader(deployment.config.settings)
+
+    async def handle(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Read the body, give the request to the engine, and pass its one answer on."""
+        try:
+            facts = await self.facts_of(scope, facts_from_headers) if self._facts is not None else None
+            if self._facts is not None and facts is None:
+                await self.app(scope, receive, send)
+                return
+            body = await self._body(scope, receive)
+            if body is None:
+                return  # the client has left before its request was there
+            ingress = self._ingress
+            if ingress is None or self.closing:
+                raise IngressClosed("the ingress is being closed")
+            engine = ingress.check_taking().engine
+            method, target = scope["method"].encode(), target_of(scope)
+            headers = [(name.lower(), value) for name, value in scope["headers"]]
+            request: HttpRequest = (
+                self._reader.read(method, target, headers, body) if facts is None
+                else compose(ingress.facts, method, target, headers, body, facts))
+            exchange = Waiting(asyncio.get_running_loop(), engine.clock.now())
+            call = engine.arrive(request, exchange)
+            self.calls.add(call)
+        except BadRequest as error:
+            await answer_bad(send, error)
+            return
+        except IngressClosed as error:
+            await answer(send, 503, str(error).encode(), ((b"content-type", b"text/plain"),))
+            return
+        watcher: asyncio.Task[Message] | None = None
+        try:
+            if not exchange.future.done():
+                watcher = asyncio.get_running_loop().create_task(_next(receive))
+                await asyncio.wait((exchange.future, watcher), return_when=asyncio.FIRST_COMPLETED)
+            if not exchange.future.done():
+                return  # the client has left; the request is withdrawn below
+            result = exchange.future.result()
+        finally:
+            engine.withdraw(call)
+            self.calls.discard(call)
+            if watcher is not None:
+                watcher.cancel()
+        match result:
+            case Served(body, found, _):
+                await answer(send, 200, body, [(n, found[n]) for n in PASSED_ON if n in found])
+            case Refused(retry_after_s):
+                await answer_refused(send, retry_after_s)
+            case _:
+                await answer(send, FAILED[result.why])
+
+    async def _body(self, scope: Scope, receive: Receive) -> bytes | None:
+        """The whole body; None if the client leaves before, BadRequest if it is too long or too late."""
+        for name, value in scope["headers"]:
+            if name.lower() == b"content-length" and value.isdigit() and int(value) > self._max_body:
+                raise BadRequest(413, "the body is too long")
+        parts: list[bytes] = []
+        size, more = 0, True
+        try:
+            async with asyncio.timeout(self._body_timeout_s):
+                while more:
+                    message = await receive()
+                    if message["type"] == "http.disconnect":
+                        return None
+                    part = message.get("body", b"")
+                    size += len(part)
+                    if size > self._max_body:
+                        raise BadRequest(413, "the body is too long")
+                    parts.append(part)
+                    more = message.get("more_body", False)
+        except TimeoutError:
+            raise BadRequest(408, "the body did not come in time") from None
+        return b"".join(parts)
+
+
+async def _next(receive: Receive) -> Message:
+    """The next message behind a whole request: that the client has left."""
+    while (message := await receive())["type"] != "http.disconnect":
+        pass
+    return message
+
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -22,12 +22,14 @@
         self._config = config
         self.ingress = Ingress(config)
         self._server = Server(self.ingress.engine, Reader(config.settings), half_of_sockets(config))
-        self.address = config.listen
+        if config.listen is None:
+            raise ValueError("a daemon needs an address to listen on")
+        self.address = self._listen = config.listen
 
     async def run(self, stop: asyncio.Event, serving: Callable[[Service], object]) -> None:
         """Serve until stop is set, then drain; serving is told once the door is open."""
         await self.ingress.start()
-        self.address = self._server.listen(self._config.listen)
+        self.address = self._server.listen(self._listen)
         sweep = Background("the sweep of clients", self._sweep)
         serving(self)
         log.info("%s: serving on %s:%d, %d backends known", self._config.name, *self.address,
@@ -35,8 +37,8 @@
         await stop.wait()
         log.info("draining")
         await self._server.drain()
-        sweep.stop()
-        self.ingress.close()
+        await sweep.stop()
+        await self.ingress.close()
         log.info("drained")
 
     def reload(self, config: Config) -> None:
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -68,10 +68,13 @@
 class Call:
     """A request that still owes its answer, or has attempts out."""
 
-    __slots__ = ("attempts", "begun", "deadline", "exchange", "give_up", "number", "request", "timers")
+    __slots__ = ("attempts", "begun", "deadline", "exchange", "give_up", "number", "request", "timers",
+                 "transport")
 
-    def __init__(self, number: int, request: Request, exchange: Exchange, give_up: float) -> None:
+    def __init__(self, number: int, request: Request, exchange: Exchange, give_up: float,
+                 transport: Transport) -> None:
         self.number, self.request, self.exchange, self.give_up = number, request, exchange, give_up
+        self.transport = transport
         self.attempts: list[Attempt] = []
         self.begun: Attempt | None = None  # the attempt whose answer is being passed on
         self.deadline: Timer | None = None
@@ -90,12 +93,17 @@
         self._calls: dict[int, Call] = {}
         self._open_ids: set[bytes] = set()
         self._last_number = 0
-        self._transport: Transport
+        self._transports: list[Transport] = []  # by pool
         self._counter: Counter | None = None
 
-    def connect(self, transport: Transport, counter: Counter | None) -> None:
-        """Give it its ports, before anything else; counter: where the settings name one."""
-        self._transport, self._counter = transport, counter
+    def add_pool(self, transport: Transport) -> int:
+        """Backends that this transport reaches: the number of their pool, the first one 0."""
+        self._transports.append(transport)
+        return len(self._transports) - 1
+
+    def count_with(self, counter: Counter) -> None:
+        """The counter, where the settings say that there is one."""
+        self._counter = counter
 
     @property
     def open(self) -> int:
@@ -106,10 +114,11 @@
 
     def fleet(self, update: FleetUpdate, endpoints: Mapping[BackendId, Any]) -> None:
         """The list of backends has changed."""
+        transport = self._transports[update.pool]
         for entry in update.entries:
-            self._transport.place(entry.backend, endpoints[entry.backend], entry.up_since_ms)
+            transport.place(entry.backend, endpoints[entry.backend], entry.up_since_ms)
         self._handle(update)
-        self._transport.follow(update)
+        transport.follow(update)
         self.ready = self.ready or bool(endpoints)
 
     def count_answered(self, event: CountAnswered) -> None:
@@ -132,7 +141,8 @@
         arrival.request = self._last_number
         # the gateway's deadline lies before the client's, so that it tries nothing in between
         arrival.time_left_ms = max(1.0, request.timeout_ms - (now - exchange.arrived) - MARGIN_MS)
-        call = Call(arrival.request, request, exchange, now + arrival.time_left_ms)
+        call = Call(arrival.request, request, exchange, now + arrival.time_left_ms,
+                    self._transports[arrival.pool])
         self._calls[call.number] = call
         self._handle(arrival)
         if call.number in self._calls:
@@ -148,13 +158,16 @@
             self._handle(RequestWithdrawn(call.number))
             self._settle(call)
 
-    def abandon(self) -> None:
-        """Fail every call that is still open: their ingress closes."""
+    def abandon(self, call: Call) -> None:
+        """Fail a call, as what would answer it closes; harmless once it is concluded."""
+        if self._conclude(call):
+            self._handle(RequestWithdrawn(call.number))
+            self._fail(call, Failure.CLOSED, call.begun is not None)
+
+    def close(self) -> None:
+        """Fail every call that is still open, and wait for nothing more."""
         for call in list(self._calls.values()):
-            begun = call.begun is not None
-            if self._conclude(call):
-                self._handle(RequestWithdrawn(call.number))
-                self._fail(call, Failure.CLOSED, begun)
+            self.abandon(call)
 
     # ---- reports of the transport
 
@@ -200,7 +213,7 @@
             return
         for attempt in call.attempts:
             if not attempt.over:
-                self._transport.give_up(attempt)
+                call.transport.give_up(attempt)
                 self._tell_end(call, attempt, Outcome.TIMEOUT)
         if self._conclude(call):
             log.error("request %d: the gateway left it without an answer", call.number)
@@ -242,7 +255,7 @@
     def _cancel(self, call: Call, attempt: Attempt, outcome: Outcome = Outcome.CANCELLED) -> None:
         """Stop waiting for an attempt, if that has not ended."""
         if not attempt.over:
-            self._transport.give_up(attempt)
+            call.transport.give_up(attempt)
             self._tell_end(call, attempt, outcome)
 
     # ---- actions
@@ -301,11 +314,11 @@
     def _send(self, action: Send) -> None:
         call, now = self._calls[action.request], self.clock.now()
         request = call.request
-        attempt = self._transport.new_attempt(call, len(call.attempts), action.backend,
-                                              request.message(call.give_up - now), now, request.repeatable)
+        attempt = call.transport.new_attempt(call, len(call.attempts), action.backend,
+                                             request.message(call.give_up - now), now, request.repeatable)
         call.attempts.append(attempt)
         if call.begun is not None:  # the answer is the client's already: nothing more may run
             attempt.over = True
             self._tell_end(call, attempt, Outcome.MOOT)
             return
-        self._transport.start(attempt)
+        call.transport.start(attempt)
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -80,7 +80,7 @@
             raise BadRequest(400, "request-timeout or quota-info out of range")
         arrival = RequestArrived(0, customer, plan, cls, units, first, width, seconds * 1000,
                                  seen.get(b"client-retry") == b"1")
-        head = _forwarded_head(method, url, headers, len(body))
+        head = forwarded_head(method, url, headers, len(body))
         return HttpRequest(seen[b"request-id"], head, body, arrival, effect is not Effect.UNSAFE)
 
 
@@ -91,7 +91,7 @@
     return found
 
 
-def _forwarded_head(method: bytes, url: bytes, headers: Headers, length: int) -> bytes:
+def forwarded_head(method: bytes, url: bytes, headers: Headers, length: int) -> bytes:
     """Request line and end-to-end headers, unchanged; the length only where a body may come."""
     dropped = _NOT_FORWARDED
     if named := b",".join([value for name, value in headers if name == b"connection"]):
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -35,21 +35,25 @@
         self.engine = Engine(settings, config.seed, SystemClock(), asyncio.get_running_loop())
         self.transport = HttpTransport(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
                                        self.engine.attempt_ended, config.max_answer)
+        self.engine.add_pool(self.transport)
         self.counter: Counter | None = None
         if settings.counter:
             timeout_s = settings.counter_timeout_ms / 1000
             self.counter = Counter(config.counter, timeout_s, self.engine.count_answered)
-        self.engine.connect(self.transport, self.counter)
+            self.engine.count_with(self.counter)
         known, endpoints = config.known
         self.engine.fleet(known, endpoints)
-        self._discovery = Discovery(config.discovery, config.lists, known.version, self.engine.fleet)
+        self._discovery: Discovery | None = None  # without one the list stays as it is
+        if config.discovery is not None:
+            self._discovery = Discovery(config.discovery, config.lists, known.version, self.engine.fleet)
         self._watch: Background | None = None
         self._count: Background | None = None
         self._sweep: Background | None = None
 
     async def start(self) -> None:
         """Watch the list and connect to the counter; returns once that has been tried."""
-        self._watch = Background("the watch of discovery", self._discovery.run)
+        if self._discovery is not None:
+            self._watch = Background("the watch of discovery", self._discovery.run)
         if (counter := self.counter) is not None:
             tried = asyncio.Event()
             self._count = Background("the counter's connection", lambda: counter.run(tried))
@@ -58,8 +62,9 @@
 
     def reload(self, config: Config) -> None:
         """Go over to the addresses of a new configuration; all else in it needs a restart."""
-        log.info("configured anew: discovery at %s:%d", *config.discovery)
-        self._discovery.move(config.discovery)
+        if self._discovery is not None and config.discovery is not None:
+            log.info("configured anew: discovery at %s:%d", *config.discovery)
+            self._discovery.move(config.discovery)
         if self._watch is not None:
             self._watch.restart()
         if self.counter is not None:
@@ -67,11 +72,13 @@
             if self._count is not None:
                 self._count.restart()
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """End what runs beside the calls, and drop idle connections."""
         for task in (self._watch, self._count, self._sweep):
             if task is not None:
-                task.stop()
+                await task.stop()
+        if self.counter is not None:
+            self.counter.close()
         self.transport.close()
 
     async def _sweep_connections(self) -> None:
--- /dev/null
+++ b/troutdock/library/__init__.py
@@ -0,0 +1,15 @@
+"""troutdock inside a program's own process: `async with Ingress(deployment)`, then `await ingress.call(...)`.
+
+It runs in the program's own event loop, sets no signal handler, configures no logging, and needs nothing
+beyond what the daemon needs.
+"""
+
+from troutdock.engine import BadRequest, Failure, Tally
+from troutdock.library.deployment import Deployment
+from troutdock.library.facts import Facts, customer_number
+from troutdock.library.local import Failed, Ingress, IngressClosed, Refused, Request, Result, Served
+from troutdock.library.shared import DeploymentInUse
+from troutdock.platform.config import ConfigError
+
+__all__ = ["BadRequest", "ConfigError", "Deployment", "DeploymentInUse", "Facts", "Failed", "Failure",
+           "Ingress", "IngressClosed", "Refused", "Request", "Result", "Served", "Tally", "customer_number"]
--- a/troutdock/platform/background.py
+++ b/troutdock/platform/background.py
@@ -42,7 +42,8 @@
         self._start()
         before.cancel()
 
-    def stop(self) -> None:
-        """End for good."""
+    async def stop(self) -> None:
+        """End for good; returns once the task has."""
         self._stopped = True
         self._task.cancel()
+        await asyncio.wait({self._task})
--- a/troutdock/platform/config.py
+++ b/troutdock/platform/config.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from tamarindfold.interface import FleetUpdate, Settings
@@ -27,10 +27,10 @@
     """The configuration of one ingress."""
 
     name: str
-    listen: Address
-    discovery: Address
+    listen: Address | None  # None: the library, which listens nowhere
+    discovery: Address | None  # None: the list of backends never changes
     counter: Address | None
-    seed: int
+    seed: int = field(compare=False)
     lists: ListReader
     known: tuple[FleetUpdate, Endpoints]  # the list of backends as this ingress last had it
     settings: Settings
--- a/troutdock/platform/counter.py
+++ b/troutdock/platform/counter.py
@@ -99,6 +99,11 @@
         if not self._waiting and self._transport is not None:
             self._transport.abort()
 
+    def drop(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _give_up(self) -> None:
         """Whatever has waited too long may have been added; its late answer is read and dropped.
 
@@ -239,6 +244,11 @@
         tried.set()
         await asyncio.Event().wait()
 
+    def close(self) -> None:
+        """Drop the connection; calls that are out have their answers as for any lost one."""
+        if self._connection is not None:
+            self._connection.drop()
+
     def move(self, address: Address | None) -> None:
         """The counter is elsewhere; run is to be started anew. The old connection serves until then."""
         self._address = address
--- a/troutdock/platform/discovery.py
+++ b/troutdock/platform/discovery.py
@@ -39,6 +39,13 @@
         self._zones = {name: number for number, name in enumerate(zones)}
         self._kinds = {name: number for number, name in enumerate(kinds)}
 
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, ListReader):
+            return NotImplemented
+        return (self._zones, self._kinds) == (other._zones, other._kinds)
+
+    __hash__ = None  # type: ignore[assignment]
+
     def read(self, raw: Any, cached: bool = False) -> tuple[FleetUpdate, Endpoints]:
         """ValueError if the list is not in discovery's form: none of it is believed then."""
         try:
