--- a/tests/peers/loopback.py
+++ b/tests/peers/loopback.py
@@ -6,7 +6,7 @@
 import json
 import re
 import socket
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
@@ -173,8 +173,8 @@
 
 @asynccontextmanager
 async def world(*scripts: Script, counter: Script | None = None, read_counter: Any = None, sockets: int = 1024,
-                discovery: Script = silence, settings: dict[str, Any] | None = None) -> Any:
-    """An ingress with a backend for each script, known to it from the start."""
+                discovery: Script = silence, settings: dict[str, Any] | None = None, boots: Sequence[int] = ()) -> Any:
+    """An ingress with a backend for each script, known to it from the start; boots: when each has started."""
     async with AsyncExitStack() as stack:
         w = World(stack)
         w.backends = [Peer(script) for script in scripts]
@@ -185,7 +185,7 @@
         used = json.loads(json.dumps(SETTINGS)) | (settings or {})
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": w.discovery.address, "seed": "07",
                   "limits": {"sockets": sockets}, "settings": used,
-                  "known": {"rev": 5, "all": True, "targets": [target(b, f"s-{n}") for n, b in enumerate(w.backends)]}}
+                  "known": {"rev": 5, "all": True, "targets": [target(b, f"s-{n}", boot_ms=boots[n] if boots else 0) for n, b in enumerate(w.backends)]}}
         if counter is not None:
             w.counter = Peer(counter, read_counter)
             await w.counter.start()
