Guard mode hears a client leave though its handler does not read; tests of both modes

Need: a handler that never read its request's body went on until its deadline after the client had left (found with Starlette's BaseHTTPMiddleware inside the guard), and where that middleware stood outside it a streamed answer counted as withdrawn: it tells of a disconnect as soon as it has the last message.

Change: one task reads the host's receive, at most 64 KiB and a message ahead of the handler; a client that leaves while the last message is being passed on has had its answer.

--- a/tests/peers/asgi_host.py
+++ b/tests/peers/asgi_host.py
@@ -36,12 +36,12 @@
 
 
 def scope(path: str = "/ledger-read/7", method: str | None = None, plan: str = "plus", timeout: str | None = "1.500",
-          number: int = 1, units: int = 2, headers: tuple[tuple[bytes, bytes], ...] = (), body: bytes = b"",
+          number: int = 1, units: float = 2, account: int = 9, headers: tuple[tuple[bytes, bytes], ...] = (), body: bytes = b"",
           **changes: Any) -> dict[str, Any]:
     """The scope of one request, with the protocol's headers."""
     method = method or ("GET" if path.startswith("/ledger-read") else "POST")
     sent = [(b"host", b"service.internal"), (b"request-id", b"%016x" % number), (b"plan", plan.encode()),
-            (b"account", b"0000000000000009"), (b"quota-info", b"units=%d,spread=1,first=0" % units)]
+            (b"account", b"%016x" % account), (b"quota-info", b"units=%a,spread=1,first=0" % units)]
     if timeout is not None:
         sent.append((b"request-timeout", timeout.encode()))
     if path.startswith("/payment-book"):
--- a/troutdock/asgi/guard.py
+++ b/troutdock/asgi/guard.py
@@ -12,8 +12,8 @@
     the client      leaves: the request is withdrawn, the handler is cancelled
     the host        cancels the middleware's coroutine: likewise, and the handler's end is waited for
 
-One task reads the host's receive at a time: the handler while it reads the body, then a watch for the
-client's leaving.
+One task alone reads the host's receive, ahead of the handler by READ_AHEAD bytes and a message at most: so
+a client that leaves is heard though the handler does not ask.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind, Outcome
@@ -38,6 +38,7 @@
 
 ADMISSION = "troutdock"  # in the scope: the handler's Admission
 LOCAL_BACKENDS = 1 << 52  # numbers of backends in this process: above those that are made of names
+READ_AHEAD = 64 * 1024  # bytes of a body that are kept for a handler that has not asked for them yet
 _LAST = ("http.response.pathsend", "http.response.zerocopysend")  # extensions that end an answer
 
 
@@ -69,41 +70,60 @@
 
 
 class _Inbox:
-    """The one reader of the host's receive."""
+    """The one reader of the host's receive: it reads ahead of the handler, and so hears the client leave."""
 
-    def __init__(self, receive: Receive, left: Any) -> None:
+    def __init__(self, receive: Receive, left: Callable[[], None]) -> None:
         self._receive, self._left = receive, left
         self._kept: deque[Message] = deque()
-        self._watch: asyncio.Task[Message] | None = None
+        self._size = 0  # bytes of the bodies that are kept
+        self._last: Message | None = None  # the client has left
+        self._changed: asyncio.Future[None] | None = None  # somebody waits for the other side
+        self._pump = asyncio.get_running_loop().create_task(self._read())
+        self._pump.add_done_callback(self._ended)
 
     async def next(self) -> Message:
         """The next message, for the handler."""
-        if self._kept:
-            return self._kept.popleft()
-        if self._watch is not None:
-            return await asyncio.shield(self._watch)
-        message = await self._receive()
-        if message["type"] == "http.disconnect":
-            self._left()
-        elif not message.get("more_body", False):
-            self.watch()
+        while not self._kept:
+            if self._last is not None:
+                return self._last
+            if self._pump.done():
+                self._pump.result()  # what the host's receive raised
+            await self._wait()
+        message = self._kept.popleft()
+        self._size -= len(message.get("body", b""))
+        self._wake()
         return message
 
-    def watch(self) -> None:
-        """The body has been read, or there is none: see to the client's leaving."""
-        if self._watch is None:
-            self._watch = asyncio.get_running_loop().create_task(self._until_left())
+    async def _read(self) -> None:
+        while True:
+            while self._size >= READ_AHEAD:
+                await self._wait()
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                self._last = message
+                self._left()
+                return
+            self._size += len(message.get("body", b""))
+            self._kept.append(message)
+            self._wake()
 
-    async def _until_left(self) -> Message:
-        while (message := await self._receive())["type"] != "http.disconnect":
-            self._kept.append(message)  # the empty body of a request that has none
-        self._left()
-        return message
+    async def _wait(self) -> None:
+        # one of the two sides waits at a time: the handler for more, or the pump for less
+        self._changed = asyncio.get_running_loop().create_future()
+        await self._changed
+
+    def _wake(self) -> None:
+        if self._changed is not None and not self._changed.done():
+            self._changed.set_result(None)
+
+    def _ended(self, pump: asyncio.Task[None]) -> None:
+        if not pump.cancelled():
+            pump.exception()  # the handler hears of it, if it asks
+        self._wake()
 
     def close(self) -> None:
         """Nothing more is read."""
-        if self._watch is not None:
-            self._watch.cancel()
+        self._pump.cancel()
 
 
 class _GuardRequest(Request):
@@ -128,7 +148,8 @@
         self.call: Call | None = None
         self.attempt: Attempt | None = None
         self.left_ms = 0.0
-        self.begun = self.finished = False  # the answer, as far as the handler has sent it
+        # the answer: begun, its last message handed to the host, taken by the host
+        self.begun = self.ending = self.finished = False
         self.handler_done = False  # before the engine had a word
         self.after: float | Failure | None = None  # what the engine says once the handler has been admitted
         self.units = 0.0
@@ -184,8 +205,10 @@
 
     def left(self) -> None:
         """The client has left."""
-        if self.finished:
-            return  # it has its answer; what the handler still does in the background is its own
+        if self.ending:
+            # it has its answer; what the handler still does in the background is its own. Some hosts say so
+            # (Starlette's BaseHTTPMiddleware) as soon as they have the last message
+            return
         if self.call is not None:
             self.engine.withdraw(self.call)
         self._end()
@@ -295,18 +318,16 @@
         except IngressClosed as error:
             await answer(send, 503, str(error).encode(), ((b"content-type", b"text/plain"),))
             return
-        inbox = _Inbox(receive, run.left)
         try:
             verdict = await run.verdict
             if verdict is None:
                 scope[ADMISSION] = Admission(facts, loop.time() + run.left_ms / 1000)
-                verdict = await self._run(scope, inbox, send, run)
+                verdict = await self._run(scope, receive, send, run)
             if verdict is not None:
                 await self._word(send, verdict)
         finally:
             engine.withdraw(run.call)
             self.calls.discard(run.call)
-            inbox.close()
 
     async def _word(self, send: Send, verdict: float | Failure) -> None:
         if isinstance(verdict, Failure):
@@ -314,14 +335,12 @@
         else:
             await answer_refused(send, verdict)
 
-    async def _run(self, scope: Scope, inbox: _Inbox, send: Send, run: _Run) -> float | Failure | None:
+    async def _run(self, scope: Scope, receive: Receive, send: Send, run: _Run) -> float | Failure | None:
         """Run the handler; what the engine says in its place, if it does."""
         loop = asyncio.get_running_loop()
         if run.over.done():
             return run.after  # its time was up before the handler had its turn
-        if not _has_body(scope):
-            inbox.watch()
-
+        inbox = _Inbox(receive, run.left)
         async def pass_on(message: Message) -> None:
             await self._pass_on(message, send, run, scope[ADMISSION])
 
@@ -337,6 +356,8 @@
             task.cancel()
             await asyncio.wait({task})
             raise
+        finally:
+            inbox.close()
         if run.finished or run.handler_done:
             if not task.cancelled() and (error := task.exception()) is not None:
                 raise error
@@ -353,7 +374,7 @@
     async def _pass_on(self, message: Message, send: Send, run: _Run, admission: Admission) -> None:
         """One message of the handler's answer."""
         kind = message["type"]
-        if run.finished or (kind == "http.response.start" and run.begun):
+        if run.ending or (kind == "http.response.start" and run.begun):
             raise RuntimeError(f"the handler answers twice: {kind}")
         attempt = run.attempt
         if attempt is None or attempt.over:
@@ -363,9 +384,9 @@
                 return
             run.begun = True
             run.units, run.outcome = _told(message)
+        run.ending = kind in _LAST or (kind == "http.response.body" and not message.get("more_body", False))
         await send(message)
-        last = kind == "http.response.body" and not message.get("more_body", False)
-        if last or kind in _LAST:
+        if run.ending:
             run.finished = True
             if admission.units is not None:
                 run.units = admission.units
@@ -376,12 +397,6 @@
     await app(scope, receive, send)
 
 
-def _has_body(scope: Scope) -> bool:
-    """A body may come."""
-    return any(name.lower() == b"transfer-encoding" or (name.lower() == b"content-length" and value != b"0")
-               for name, value in scope["headers"])
-
-
 def _told(start: Message) -> tuple[float, Outcome]:
     """Units and outcome that a response start tells: what is 500 or more is a sign against the node."""
     status, units, idle = int(start["status"]), 0.0, False
