--- /dev/null
+++ b/benchmarks/apps.py
@@ -0,0 +1,33 @@
+"""Applications of the rigs, for uvicorn's --factory."""
+
+from __future__ import annotations
+
+import os
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse
+from starlette.routing import Route
+
+from troutdock.asgi import ForwardMiddleware, GuardMiddleware
+from troutdock.asgi.types import App
+from troutdock.library import Deployment
+
+
+async def _read(request: Request) -> PlainTextResponse:
+    return PlainTextResponse("done")
+
+
+def bare() -> Starlette:
+    """An application that answers reads itself."""
+    return Starlette(routes=[Route("/ledger-read/{n}", _read)])
+
+
+def guarded() -> App:
+    """The same in guard mode."""
+    return GuardMiddleware(bare(), deployment=Deployment.from_file(os.environ["RELAY_CONFIG"]))
+
+
+def forwarding() -> App:
+    """Forward mode alone."""
+    return ForwardMiddleware(deployment=Deployment.from_file(os.environ["RELAY_CONFIG"]))
--- /dev/null
+++ b/tests/library/test_workers.py
@@ -0,0 +1,39 @@
+"""Several ingresses of one deployment, as worker processes are: they share through the counter."""
+
+from __future__ import annotations
+
+import asyncio
+
+from asgi_host import deployment, nodes
+from counting import read_call
+from loopback import Peer, answer, run
+from test_local import ask
+
+from troutdock.library import Ingress, Served
+
+
+def test_workers_share_a_quota_through_the_counter() -> None:
+    async def test() -> None:
+        totals: dict[bytes, float] = {}
+
+        async def adds(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
+            _, name, amount, _ = call.split(b" ")
+            totals[name] = totals.get(name, 0.0) + float(amount)
+            text = b"%.6f" % totals[name]
+            writer.write(b"$%d\r\n%b\r\n" % (len(text), text))
+
+        counter = Peer(adds, read_call)
+        await counter.start()
+        async with nodes(answer()) as peers:
+            made = [deployment(*peers, name=f"worker {n}", ingresses=2, index=n, counter=counter.address) for n in (0, 1)]
+            async with Ingress(made[0]) as one, Ingress(made[1]) as other:
+                served = 0
+                for number in range(30):
+                    for ingress in (one, other):
+                        result = await ingress.call(ask("ledger-read", number, "basis", units=1))
+                        served += isinstance(result, Served)
+            # a burst of 8, and a unit a second; each alone would let in as much again
+            assert 6 <= served <= 10
+            assert 0 < sum(totals.values()) <= served + 2
+        counter.stop()
+    run(test())
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import re
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -42,3 +44,38 @@
 def test_an_invalid_plan_names_the_field() -> None:
     with pytest.raises(ValueError, match=r"Plan\.burst"):
         Plan(1, -1)
+
+
+PACKAGE = ROOT / "troutdock"
+# what each part may import of the others; nothing points back
+MAY_IMPORT = {
+    "engine": {"engine"},
+    "http": {"http", "engine", "address"},
+    "platform": {"platform", "http", "address"},
+    "ingress": {"engine", "http", "platform"},
+    "daemon": {"ingress", "http", "platform"},
+    "library": {"library", "ingress", "engine", "http", "platform", "address"},
+    "asgi": {"asgi", "library", "engine", "http", "platform"},
+}
+
+
+@pytest.mark.parametrize("part", MAY_IMPORT)
+def test_arrows_go_one_way(part: str) -> None:
+    where = PACKAGE / part
+    files = sorted(where.glob("*.py")) if where.is_dir() else [where.with_suffix(".py")]
+    for file in files:
+        found = set(re.findall(r"^\s*(?:from|import) troutdock\.(\w+)", file.read_text(), re.M))
+        assert found <= MAY_IMPORT[part], file
+
+
+def test_the_engine_knows_neither_loop_nor_socket_nor_clock() -> None:
+    for file in (PACKAGE / "engine").glob("*.py"):
+        assert not re.search(r"^\s*(import|from) (asyncio|socket|time|http|uvloop|httptools)\b", file.read_text(), re.M)
+
+
+def test_the_daemon_loads_nothing_that_it_does_not_use() -> None:
+    code = "import sys, troutdock.__main__; print([m for m in sys.modules if m.startswith(('troutdock.', 'starlette'))])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert "troutdock.daemon" in done.stdout
+    for unused in ("troutdock.asgi", "troutdock.library", "starlette"):
+        assert unused not in done.stdout
--- a/troutdock/asgi/forward.py
+++ b/troutdock/asgi/forward.py
@@ -4,10 +4,11 @@
 
 import asyncio
 from collections.abc import Sequence
+from contextlib import suppress
 
 from troutdock.asgi.base import FAILED, FactsOf, Middleware, answer, answer_bad, answer_refused
 from troutdock.asgi.scope import facts_from_headers, target_of
-from troutdock.asgi.types import App, Message, Receive, Scope, Send
+from troutdock.asgi.types import App, Receive, Scope, Send
 from troutdock.engine import BadRequest
 from troutdock.http.request import HttpRequest, Reader
 from troutdock.http.response import MAX_BODY
@@ -82,14 +83,13 @@
         except IngressClosed as error:
             await answer(send, 503, str(error).encode(), ((b"content-type", b"text/plain"),))
             return
-        watcher: asyncio.Task[Message] | None = None
+        watcher: asyncio.Task[None] | None = None
         try:
             if not exchange.future.done():
-                watcher = asyncio.get_running_loop().create_task(_next(receive))
-                await asyncio.wait((exchange.future, watcher), return_when=asyncio.FIRST_COMPLETED)
-            if not exchange.future.done():
+                watcher = asyncio.get_running_loop().create_task(_until_left(receive, exchange))
+            result = await exchange.future
+            if result is None:
                 return  # the client has left; the request is withdrawn below
-            result = exchange.future.result()
         finally:
             engine.withdraw(call)
             self.calls.discard(call)
@@ -127,9 +127,10 @@
         return b"".join(parts)
 
 
-async def _next(receive: Receive) -> Message:
-    """The next message behind a whole request: that the client has left."""
-    while (message := await receive())["type"] != "http.disconnect":
-        pass
-    return message
+async def _until_left(receive: Receive, exchange: Waiting) -> None:
+    """Behind a whole request the next message says that the client has left; so does a receive that fails."""
+    with suppress(Exception):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+    exchange.leave()
 
--- a/troutdock/library/local.py
+++ b/troutdock/library/local.py
@@ -72,12 +72,17 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, arrived: float) -> None:
         self.arrived = arrived
-        self.future: asyncio.Future[Result] = loop.create_future()
+        self.future: asyncio.Future[Result | None] = loop.create_future()  # None: the client has left
 
     def _tell(self, result: Result) -> None:
         if not self.future.done():  # else the waiting coroutine is being cancelled
             self.future.set_result(result)
 
+    def leave(self) -> None:
+        """The client has left: nobody is told anything any more."""
+        if not self.future.done():
+            self.future.set_result(None)
+
     def served(self, answer: Response) -> None:
         self._tell(Served(answer.body, answer.headers, answer.true_units))
 
@@ -218,7 +223,9 @@
         exchange = Waiting(asyncio.get_running_loop(), engine.clock.now())
         call: Call = engine.arrive(composed, exchange)
         try:
-            return await exchange.future
+            result = await exchange.future
+            assert result is not None  # nobody but the host's own cancelling makes a caller leave
+            return result
         finally:
             engine.withdraw(call)
 
