Tell the ingress's own lateness from the backends' slowness, by the time of arrival

Change: a sampler notes how late the loop is; where that is notable, TCP_INFO tells how long ago the last bytes of an answer came, and that part of an attempt's time says nothing of its backend (AttemptEnded.lag_ms). The keyed window still counts the whole time, which errs on the safe side.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -543,7 +543,7 @@
     def learn(self, now: float, backend: Backend, event: AttemptEnded, sent: Sent) -> None:
         """Every kind of sign moves one measure; what came of a request's run tells of its class only."""
         sent_at, work, pile, cls, due = sent
-        took, pool = event.elapsed_ms / pile / work, backend.pool
+        took, pool = max(0.0, event.elapsed_ms - event.lag_ms) / pile / work, backend.pool
         fleet = pool.slowness.now(now)
         heard = backend.heard_at > sent_at  # then one connection may be silent, but not the backend
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -217,7 +217,10 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """The one outcome of an attempt; over: the request is concluded."""
+    """The one outcome of an attempt; over: the request is concluded.
+
+    lag_ms: the part of elapsed_ms for which the gateway itself was late, and nothing of the backend's.
+    """
 
     request: int
     attempt: int
@@ -228,6 +231,7 @@
     used_percent: float | None = None
     true_units: float = 0.0
     report: tuple[float, ...] = ()
+    lag_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -50,9 +50,10 @@
 # what each part may import of the others; nothing points back
 MAY_IMPORT = {
     "engine": {"engine"},
-    "http": {"http", "engine", "address"},
+    "overload": {"overload"},
+    "http": {"http", "engine", "overload", "address"},
     "platform": {"platform", "http", "address"},
-    "ingress": {"engine", "http", "platform"},
+    "ingress": {"engine", "http", "overload", "platform"},
     "daemon": {"ingress", "http", "platform"},
     "library": {"library", "ingress", "engine", "http", "platform", "address"},
     "asgi": {"asgi", "library", "engine", "http", "platform"},
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -21,7 +21,8 @@
     def __init__(self, config: Config) -> None:
         self._config = config
         self.ingress = Ingress(config)
-        self._server = Server(self.ingress.engine, Reader(config.settings), half_of_sockets(config))
+        self._server = Server(self.ingress.engine, Reader(config.settings), half_of_sockets(config),
+                              self.ingress.lag)
         if config.listen is None:
             raise ValueError("a daemon needs an address to listen on")
         self.address = self._listen = config.listen
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -233,7 +233,7 @@
         elapsed_ms = self.clock.now() - attempt.started
         over = call.number not in self._calls
         self._handle(AttemptEnded(call.number, attempt.index, attempt.backend, outcome, elapsed_ms, over,
-                                  true_units=units))
+                                  true_units=units, lag_ms=attempt.lag_ms))
 
     def _conclude(self, call: Call) -> bool:
         """Nothing is owed any more; false if that was so before."""
--- /dev/null
+++ b/troutdock/http/age.py
@@ -0,0 +1,31 @@
+"""How long ago a connection's last bytes came, as the kernel saw it: the delay until they are handled."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import Protocol
+
+_LAST_DATA_RECEIVED = 52  # byte at which Linux's struct tcp_info has tcpi_last_data_recv (linux/tcp.h), in ms
+_SIZE = _LAST_DATA_RECEIVED + 4
+_UNSIGNED = struct.Struct("=I")
+_MOST_MS = 60_000  # beyond that the kernel speaks of something else
+
+
+class Socket(Protocol):
+    """A socket, or what an event loop shows of one."""
+
+    def getsockopt(self, level: int, option: int, size: int, /) -> bytes:
+        """As the system call."""
+
+
+def received_ago_ms(sock: Socket) -> float:
+    """Milliseconds since the last bytes arrived, in steps of a few; 0 where the system does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SIZE)
+    except (OSError, AttributeError):
+        return 0.0
+    if len(info) < _SIZE:
+        return 0.0
+    ago: int = _UNSIGNED.unpack_from(info, _LAST_DATA_RECEIVED)[0]
+    return float(ago) if ago < _MOST_MS else 0.0
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -16,8 +16,10 @@
 
 from troutdock.address import Address
 from troutdock.engine import BadRequest, Call, Engine, Failure
+from troutdock.http.age import received_ago_ms
 from troutdock.http.request import Reader
 from troutdock.http.response import MAX_BODY, MAX_HEAD, Response
+from troutdock.overload.lag import Lag
 
 log = logging.getLogger("troutdock")
 
@@ -45,7 +47,10 @@
 
     def __init__(self, connection: ClientConnection, keep_alive: bool) -> None:
         self.connection, self.keep_alive = connection, keep_alive
-        self.arrived = connection.server.engine.clock.now()
+        server = connection.server
+        self.arrived = server.engine.clock.now()
+        if server.lag.notable and connection.sock is not None:
+            self.arrived -= received_ago_ms(connection.sock)  # the client's time runs from then on
         self.call: Call | None = None
         self.reply: bytes | None = None
         self.body = b""  # behind the reply, where it is not part of it
@@ -90,8 +95,8 @@
 class ClientConnection(asyncio.Protocol):
     """A connection of a client; requests may come in pieces, in a row, or chunked."""
 
-    def __init__(self, server: Server) -> None:
-        self.server = server
+    def __init__(self, server: Server, sock: socket.socket | None = None) -> None:
+        self.server, self.sock = server, sock
         self._parser = httptools.HttpRequestParser(self)
         self._exchanges: deque[Exchange] = deque()
         self._received = 0  # bytes of the message that is coming
@@ -290,7 +295,8 @@
 class Server:
     """Accepts clients within a bound on their connections, until it is told to drain."""
 
-    def __init__(self, engine: Engine, reader: Reader, max_clients: int) -> None:
+    def __init__(self, engine: Engine, reader: Reader, max_clients: int, lag: Lag | None = None) -> None:
+        self.lag = lag or Lag()
         self.engine, self.reader = engine, reader
         self.draining = False
         self._max_clients = max_clients
@@ -357,7 +363,7 @@
 
     async def _start(self, sock: socket.socket) -> None:
         try:
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
         except OSError:
             sock.close()
             self._coming -= 1
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -12,7 +12,9 @@
 from tamarindfold.interface import BackendId, BackendState, FleetUpdate, ListKind, Outcome
 from troutdock.address import Address
 from troutdock.engine import Attempt
+from troutdock.http.age import received_ago_ms
 from troutdock.http.response import MAX_BODY, BadResponse, Response, ResponseReader
+from troutdock.overload.lag import Lag
 
 log = logging.getLogger("troutdock")
 
@@ -36,6 +38,7 @@
         self.owner, self.index, self.backend, self.started = owner, index, backend, started
         self.message, self.repeatable = message, repeatable
         self.over = False
+        self.lag_ms = 0.0
         self.pool: Pool | None = None  # the one that it waits in, or was written in
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None  # only while that can be cancelled
@@ -109,6 +112,9 @@
             self._stalled.cancel()
             self._stalled = None
         if response is not None:
+            if self.pool.lag.notable and self.attempt is not None:
+                # guards against taking this process's own lateness for the backend's slowness
+                self.attempt.lag_ms = received_ago_ms(self.sock)
             # an answer before the request's last byte leaves a connection nobody can use again
             self._conclude(outcome_of(response), response, response.keep_alive and self._written)
         else:
@@ -156,7 +162,7 @@
 
     def __init__(self, endpoint: Address, backends: HttpTransport, up_since_ms: float) -> None:
         self.endpoint, self._backends, self.up_since_ms = endpoint, backends, up_since_ms
-        self.max_answer = backends.max_answer
+        self.max_answer, self.lag = backends.max_answer, backends.lag
         self.idle: deque[Connection] = deque()  # the most recently used last
         self.waiting: deque[HttpAttempt] = deque()  # attempts whose connection is not up yet
         self.retired = False
@@ -285,8 +291,9 @@
     """All backends that the gateway may name, within a bound on the connections to them."""
 
     def __init__(self, max_open: int, connect_timeout_s: float, idle_s: float, ended: Ended,
-                 max_answer: int = MAX_BODY) -> None:
+                 max_answer: int = MAX_BODY, lag: Lag | None = None) -> None:
         self.max_answer = max_answer  # bytes of a body
+        self.lag = lag or Lag()
         self.max_open, self.connect_timeout_s, self._idle_s = max_open, connect_timeout_s, idle_s * IDLE_PART
         self.use_s = self._idle_s  # how long a connection may have stood idle to be used again
         self.ended = ended
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -10,6 +10,7 @@
 
 from troutdock.engine import Engine
 from troutdock.http.transport import HttpTransport
+from troutdock.overload.lag import EVERY_S, Lag
 from troutdock.platform.background import Background
 from troutdock.platform.clock import SystemClock
 from troutdock.platform.config import Config
@@ -33,8 +34,9 @@
     def __init__(self, config: Config) -> None:
         settings = config.settings
         self.engine = Engine(settings, config.seed, SystemClock(), asyncio.get_running_loop())
+        self.lag = Lag()
         self.transport = HttpTransport(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
-                                       self.engine.attempt_ended, config.max_answer)
+                                       self.engine.attempt_ended, config.max_answer, self.lag)
         self.engine.add_pool(self.transport)
         self.counter: Counter | None = None
         if settings.counter:
@@ -49,6 +51,7 @@
         self._watch: Background | None = None
         self._count: Background | None = None
         self._sweep: Background | None = None
+        self._sampler: asyncio.TimerHandle | None = None
 
     async def start(self) -> None:
         """Watch the list and connect to the counter; returns once that has been tried."""
@@ -59,6 +62,7 @@
             self._count = Background("the counter's connection", lambda: counter.run(tried))
             await tried.wait()
         self._sweep = Background("the sweep", self._sweep_connections)
+        self._sample()
 
     def reload(self, config: Config) -> None:
         """Go over to the addresses of a new configuration; all else in it needs a restart."""
@@ -77,10 +81,16 @@
         for task in (self._watch, self._count, self._sweep):
             if task is not None:
                 await task.stop()
+        if self._sampler is not None:
+            self._sampler.cancel()
         if self.counter is not None:
             self.counter.close()
         self.transport.close()
 
+    def _sample(self) -> None:
+        self.lag.sample(self.engine.clock.now())
+        self._sampler = asyncio.get_running_loop().call_later(EVERY_S, self._sample)
+
     async def _sweep_connections(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
