--- a/tests/library/test_local.py
+++ b/tests/library/test_local.py
@@ -11,6 +11,7 @@
 import pytest
 import uvloop
 from asgi_host import NAMES, cancelled_at, deployment, nodes
+from counting import read_call
 from loopback import Peer, answer, sends, silence, until
 from loopback import run as run_on_uvloop
 from simulated import assert_settled
@@ -153,6 +154,42 @@
     run(test)
 
 
+def test_a_call_cancelled_before_its_first_attempt_is_never_sent() -> None:
+    """The counter holds it; the answer that comes after finds nobody waiting."""
+    async def test() -> None:
+        asked: list[tuple[bytes, asyncio.StreamWriter]] = []
+
+        async def late(peer: Peer, call: bytes, writer: asyncio.StreamWriter) -> None:
+            asked.append((call, writer))
+
+        counter = Peer(late, read_call)
+        await counter.start()
+        async with nodes(answer()) as peers:
+            made = deployment(*peers, counter=counter.address, counter_timeout_s=0.3)
+            async with Ingress(made) as ingress:
+                held = None
+                for number in range(60):
+                    task = asyncio.create_task(ingress.call(ask("ledger-read", number, "basis", units=2)))
+                    await asyncio.sleep(0.002)
+                    calls = list(ingress.core.engine._calls.values())
+                    if calls and not calls[0].attempts:
+                        held = task
+                        break
+                    await task
+                assert held is not None
+                sent = len(peers[0].requests)
+                held.cancel()
+                await asyncio.wait({held})
+                assert held.cancelled() and ingress.tally.withdrawn == 1
+                for _, writer in asked:
+                    writer.write(b"$3\r\n0.0\r\n")
+                await asyncio.sleep(0.02)
+                assert len(peers[0].requests) == sent
+                assert_settled(ingress.core.engine)
+        counter.stop()
+    run(test)
+
+
 # ---- its end
 
 
