Know an overdue sample before it fires; tests of lateness over loopback

Need: right after one long pass the sampler had not fired yet, and what was read then was not asked for its age.

Change: the lag is notable as soon as the next sample is overdue.

--- /dev/null
+++ b/tests/http/test_age.py
@@ -0,0 +1,106 @@
+"""The ingress's own lateness is told from the backend's, and counts against the client's time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import time
+from typing import Any
+
+from loopback import answer, request, run, until, world
+
+from tamarindfold.interface import AttemptEnded, RequestArrived
+from troutdock.http.age import received_ago_ms
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+BUSY_S = 0.2  # how long the loop is kept from listening
+
+
+class ThreadedNode:
+    """A node that answers at once whatever this process's loop does."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.met = threading.Event()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        sock, _ = self.listener.accept()
+        with sock:
+            data = b""
+            while part := sock.recv(65536):
+                data += part
+                if b"receipt" in data:
+                    data = b""
+                    time.sleep(0.03)  # until the loop is busy
+                    sock.sendall(OK)
+                    self.met.set()
+
+
+def events_of(w: Any) -> list[Any]:
+    """What the decision module is told from now on."""
+    seen: list[Any] = []
+    handle = w.gateway.handle
+
+    def noted(now: float, event: Any) -> Any:
+        seen.append(event)
+        return handle(now, event)
+
+    w.gateway.handle = noted
+    return seen
+
+
+def test_the_time_that_an_answer_lay_unread_is_not_the_backends() -> None:
+    """Found on the day at the size of a whole service: the fleet looked slow, and all was refused."""
+    async def test() -> None:
+        node = ThreadedNode()
+        async with world(answer()) as w:
+            for pool in w.service.ingress.transport._pools.values():
+                pool.endpoint = ("127.0.0.1", node.port)
+            client = await w.client()
+            assert (await client.ask(request(number=1)))[0] == 200
+            await asyncio.sleep(0.05)
+            node.met.clear()
+            seen = events_of(w)
+            client.writer.write(request(number=2))
+            await until(lambda: any(isinstance(e, RequestArrived) for e in seen))
+            node.met.wait(5)  # this keeps the loop from reading
+            time.sleep(BUSY_S)  # the answer is here, and nobody reads it
+            assert (await client.answer())[0] == 200
+            (ended,) = [e for e in seen if isinstance(e, AttemptEnded)]
+            assert ended.elapsed_ms > BUSY_S * 1000
+            assert ended.lag_ms > 0.8 * BUSY_S * 1000
+            assert ended.elapsed_ms - ended.lag_ms < 0.5 * BUSY_S * 1000
+        node.listener.close()
+    run(test())
+
+
+def test_a_request_that_lay_unread_has_so_much_less_time_left() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            seen = events_of(w)
+            with socket.create_connection(w.address) as client:
+                await asyncio.sleep(0.05)  # accepted
+                client.sendall(request(Request_Timeout="1.500"))
+                time.sleep(BUSY_S)
+                await until(lambda: any(isinstance(e, RequestArrived) for e in seen))
+            (arrived,) = [e for e in seen if isinstance(e, RequestArrived)]
+            assert arrived.time_left_ms < 1500 - 0.8 * BUSY_S * 1000
+    run(test())
+
+
+def test_where_the_system_does_not_tell_nothing_is_taken_off() -> None:
+    class Silent:
+        def __init__(self, said: bytes | None) -> None:
+            self.said = said
+
+        def getsockopt(self, level: int, option: int, size: int) -> bytes:
+            if self.said is None:
+                raise OSError
+            return self.said
+
+    assert received_ago_ms(Silent(None)) == received_ago_ms(Silent(b"short")) == 0.0
+    assert received_ago_ms(Silent(b"\xff" * 56)) == 0.0  # never
+    assert received_ago_ms(Silent(bytes(52) + (7).to_bytes(4, "little"))) in (7.0, 0.0)  # by the byte order
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -34,7 +34,7 @@
     def __init__(self, config: Config) -> None:
         settings = config.settings
         self.engine = Engine(settings, config.seed, SystemClock(), asyncio.get_running_loop())
-        self.lag = Lag()
+        self.lag = Lag(self.engine.clock.now)
         self.transport = HttpTransport(half_of_sockets(config), config.connect_timeout_s, config.idle_s,
                                        self.engine.attempt_ended, config.max_answer, self.lag)
         self.engine.add_pool(self.transport)
@@ -88,7 +88,7 @@
         self.transport.close()
 
     def _sample(self) -> None:
-        self.lag.sample(self.engine.clock.now())
+        self.lag.sample()
         self._sampler = asyncio.get_running_loop().call_later(EVERY_S, self._sample)
 
     async def _sweep_connections(self) -> None:
--- a/troutdock/overload/lag.py
+++ b/troutdock/overload/lag.py
@@ -10,6 +10,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from math import inf
+
 EVERY_S = 0.010  # between two samples: 100 callbacks a second cost some 0.2 ms of CPU
 FADE = 0.8  # what a prompt sample leaves of the lag: a tenth after 100 ms
 NOTABLE_MS = 4.0  # a lag from which on messages are asked for their age; below it the kernel's steps hide it
@@ -18,19 +21,21 @@
 class Lag:
     """The lag of one event loop, in milliseconds."""
 
-    __slots__ = ("_due", "now_ms")
+    __slots__ = ("_due", "_now", "now_ms")
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float] = lambda: 0.0) -> None:
         self.now_ms = 0.0
-        self._due: float | None = None
+        self._now = now  # milliseconds
+        self._due = inf
 
     @property
     def notable(self) -> bool:
-        """What is read now may have waited."""
-        return self.now_ms > NOTABLE_MS
+        """What is read now may have waited: the loop was late of late, or the next sample is overdue."""
+        return self.now_ms > NOTABLE_MS or self._now() - self._due > NOTABLE_MS
 
-    def sample(self, now_ms: float) -> None:
+    def sample(self) -> None:
         """The timer has fired, EVERY_S after the last time or later."""
-        if self._due is not None:
-            self.now_ms = max(now_ms - self._due, self.now_ms * FADE)
-        self._due = now_ms + EVERY_S * 1000
+        now = self._now()
+        if self._due < inf:
+            self.now_ms = max(now - self._due, self.now_ms * FADE)
+        self._due = now + EVERY_S * 1000
