One wording of answers and headers for all fronts; no units below nought

Read over the whole change: the statuses of failures, the headers that are passed on and the patterns of the protocol's headers stood twice, the check whether a request may be taken three times; FactsReader.repeatable and Deployment.effect were used by nobody. A handler's Billed-Units below nought gave its customer quota back; the engine now believes units above nought and up to the largest request only, whoever tells them. The test for it fails without that.

--- a/tests/asgi/test_guard.py
+++ b/tests/asgi/test_guard.py
@@ -97,11 +97,12 @@
     run(test())
 
 
-@pytest.mark.parametrize(("by", "left"), [("header", 8 - 3), ("handler", 8 - 5), ("nothing", 8 - 2)])
+@pytest.mark.parametrize(("by", "left"), [("header", 8 - 3), ("handler", 8 - 5), ("nothing", 8 - 2), ("less than nothing", 8 - 2)])
 def test_units_are_settled_by_what_the_handler_says(by: str, left: float) -> None:
     async def test() -> None:
         async def work(scope: Scope, receive: Receive, send: Send) -> None:
-            headers = [(b"billed-units", b"3")] if by != "nothing" else []
+            told = {"header": b"3", "handler": b"3", "less than nothing": b"-5"}
+            headers = [(b"billed-units", told[by])] if by in told else []
             if by == "handler":
                 scope["troutdock"].units = 5.0
             await send({"type": "http.response.start", "status": 200, "headers": headers})
--- a/troutdock/asgi/base.py
+++ b/troutdock/asgi/base.py
@@ -9,18 +9,17 @@
 
 from troutdock.asgi.scope import below_root
 from troutdock.asgi.types import App, Message, Receive, Scope, Send
-from troutdock.engine import BadRequest, Call, Failure
+from troutdock.engine import BadRequest, Call, Engine
 from troutdock.library import shared
 from troutdock.library.deployment import Deployment
 from troutdock.library.facts import Facts
-from troutdock.library.local import IDLE_POLL_S, Ingress
+from troutdock.library.local import IDLE_POLL_S, Ingress, IngressClosed
 from troutdock.platform.config import ConfigError
 
 log = logging.getLogger("troutdock")
 
 FactsOf = Callable[[Scope], Facts | Awaitable[Facts | None] | None]
 ADMITTED = "troutdock.admitted"  # in the scope: names of the deployments that have counted this request
-FAILED = {Failure.ATTEMPT: 502, Failure.UNANSWERED: 504, Failure.INTERNAL: 500, Failure.CLOSED: 500}
 _DEPTH = 100  # how many applications that wrap one another are looked at
 
 
@@ -174,6 +173,12 @@
             raise TypeError(f"the facts function returned {found!r}, which is neither Facts nor None")
         return found
 
+    def taking(self) -> tuple[Ingress, Engine]:
+        """The ingress and its engine, if a request may be taken here and now; else IngressClosed."""
+        if self._ingress is None or self.closing:
+            raise IngressClosed("the ingress is being closed")
+        return self._ingress, self._ingress.check_taking().engine
+
     @staticmethod
     def first_time(scope: Scope, name: str) -> bool:
         """Mark a request as counted for a deployment; false if it was."""
--- a/troutdock/asgi/forward.py
+++ b/troutdock/asgi/forward.py
@@ -6,18 +6,17 @@
 from collections.abc import Sequence
 from contextlib import suppress
 
-from troutdock.asgi.base import FAILED, FactsOf, Middleware, answer, answer_bad, answer_refused
+from troutdock.asgi.base import FactsOf, Middleware, answer, answer_bad, answer_refused
 from troutdock.asgi.scope import facts_from_headers, target_of
 from troutdock.asgi.types import App, Receive, Scope, Send
 from troutdock.engine import BadRequest
 from troutdock.http.request import HttpRequest, Reader
 from troutdock.http.response import MAX_BODY
+from troutdock.http.status import FAILED, PASSED_ON
 from troutdock.library.deployment import Deployment
 from troutdock.library.local import IngressClosed, Refused, Served, Waiting, compose
 from troutdock.platform.config import ConfigError
 
-PASSED_ON = (b"content-type", b"content-encoding")
-
 
 async def no_app(scope: Scope, receive: Receive, send: Send) -> None:
     """What is behind a forwarding application that stands alone: nothing."""
@@ -65,10 +64,7 @@
             body = await self._body(scope, receive)
             if body is None:
                 return  # the client has left before its request was there
-            ingress = self._ingress
-            if ingress is None or self.closing:
-                raise IngressClosed("the ingress is being closed")
-            engine = ingress.check_taking().engine
+            ingress, engine = self.taking()
             method, target = scope["method"].encode(), target_of(scope)
             headers = [(name.lower(), value) for name, value in scope["headers"]]
             request: HttpRequest = (
--- a/troutdock/asgi/guard.py
+++ b/troutdock/asgi/guard.py
@@ -25,10 +25,11 @@
 from typing import Any
 
 from tamarindfold.interface import BackendEntry, BackendId, BackendState, FleetUpdate, ListKind, Outcome
-from troutdock.asgi.base import FAILED, FactsOf, Middleware, answer, answer_bad, answer_refused
+from troutdock.asgi.base import FactsOf, Middleware, answer, answer_bad, answer_refused
 from troutdock.asgi.scope import facts_from_headers
 from troutdock.asgi.types import App, Message, Receive, Scope, Send
 from troutdock.engine import Attempt, BadRequest, Call, Engine, Failure, Request
+from troutdock.http.status import FAILED
 from troutdock.library.deployment import Deployment
 from troutdock.library.facts import Facts
 from troutdock.library.local import Ingress, IngressClosed
@@ -301,10 +302,7 @@
             if facts is None:
                 await self.app(scope, receive, send)
                 return
-            ingress = self._ingress
-            if ingress is None or self.closing:
-                raise IngressClosed("the ingress is being closed")
-            engine = ingress.check_taking().engine
+            ingress, engine = self.taking()
             arrival = ingress.facts.arrival(facts)
             arrival.pool, arrival.max_attempts = self._pool, 1
             loop = asyncio.get_running_loop()
@@ -387,9 +385,9 @@
         run.ending = kind in _LAST or (kind == "http.response.body" and not message.get("more_body", False))
         await send(message)
         if run.ending:
-            run.finished = True
             if admission.units is not None:
-                run.units = admission.units
+                run.units = float(admission.units)
+            run.finished = True
             run.report(run.outcome)
 
 
--- a/troutdock/asgi/scope.py
+++ b/troutdock/asgi/scope.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from urllib.parse import quote
 
 from troutdock.asgi.types import Scope
 from troutdock.engine import BadRequest
+from troutdock.http.request import ACCOUNT, MEANT, QUOTA, SECONDS
 from troutdock.library.facts import Facts
 
-_ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
-_SECONDS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
-_QUOTA = re.compile(rb"units=(\d{1,6}(?:\.\d{1,9})?),spread=(\d{1,6}),first=(\d{1,6})")
 _SAFE_IN_PATH = "/~!$&'()*+,;=:@%"
 
 
@@ -36,16 +33,12 @@
     """The headers by name; BadRequest if one that the protocol gives a meaning comes twice."""
     found: dict[bytes, bytes] = {}
     for name, value in scope["headers"]:
-        if name in found and name in _MEANT:
+        if name in found and name in MEANT:
             raise BadRequest(400, f"{name.decode()} comes twice")
         found[name] = value
     return found
 
 
-_MEANT = frozenset((b"request-id", b"account", b"plan", b"request-timeout", b"quota-info", b"client-retry",
-                    b"idempotency-key"))
-
-
 def _text(value: bytes) -> str:
     return value.decode("latin-1")
 
@@ -57,10 +50,10 @@
     the request counts one unit and its customer comes through every ingress. BadRequest for nonsense.
     """
     headers = single_headers(scope)
-    for name, pattern in ((b"account", _ACCOUNT), (b"request-timeout", _SECONDS), (b"quota-info", _QUOTA)):
+    for name, pattern in ((b"account", ACCOUNT), (b"request-timeout", SECONDS), (b"quota-info", QUOTA)):
         if not pattern.fullmatch(headers.get(name, b"")) and (name in headers or name == b"account"):
             raise BadRequest(400, f"{name.decode()} is missing or senseless")
-    seconds, quota = headers.get(b"request-timeout"), _QUOTA.fullmatch(headers.get(b"quota-info", b""))
+    seconds, quota = headers.get(b"request-timeout"), QUOTA.fullmatch(headers.get(b"quota-info", b""))
     if quota is not None and not int(quota[2]):
         raise BadRequest(400, "quota-info is out of range")
     return Facts(
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -195,7 +195,7 @@
             self._conclude(call)
             if outcome is Outcome.OK and answer is not None:
                 self.tally.served += 1
-                if answer.true_units <= self._most_units:  # else it is no number that a request can have
+                if 0 < answer.true_units <= self._most_units:  # else it is no number that a request can have
                     units = answer.true_units
                 call.exchange.served(answer)
             else:
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -8,12 +8,12 @@
 from tamarindfold.interface import Effect, RequestArrived, Settings
 from troutdock.engine import BadRequest, Request
 
-_ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
-_SECONDS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
-_QUOTA = re.compile(rb"units=(\d{1,6}(?:\.\d{1,9})?),spread=(\d{1,6}),first=(\d{1,6})")
+ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
+SECONDS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
+QUOTA = re.compile(rb"units=(\d{1,6}(?:\.\d{1,9})?),spread=(\d{1,6}),first=(\d{1,6})")
 _ID = re.compile(rb"[\x21-\x7e]{1,128}")
 
-_READ = frozenset((b"request-id", b"account", b"plan", b"request-timeout", b"quota-info", b"client-retry",
+MEANT = frozenset((b"request-id", b"account", b"plan", b"request-timeout", b"quota-info", b"client-retry",
                    b"idempotency-key"))
 # what counts for one connection only, and what the ingress words itself
 _NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
@@ -50,7 +50,7 @@
         seen = dict(headers)
         if len(seen) < len(headers):
             names = [name for name, _ in headers]
-            for name in _READ:
+            for name in MEANT:
                 if names.count(name) > 1:
                     raise BadRequest(400, f"{name.decode()} comes twice")
         path = url.partition(b"?")[0]
@@ -68,9 +68,9 @@
         plan = self._plans.get(seen.get(b"plan", b""))
         if plan is None:
             raise BadRequest(400, "no such plan")
-        customer = int(_match(_ACCOUNT, seen, b"account")[0], 16)
-        seconds = float(_match(_SECONDS, seen, b"request-timeout")[0])
-        quota = _match(_QUOTA, seen, b"quota-info")
+        customer = int(_match(ACCOUNT, seen, b"account")[0], 16)
+        seconds = float(_match(SECONDS, seen, b"request-timeout")[0])
+        quota = _match(QUOTA, seen, b"quota-info")
         units, width, first = float(quota[1]), int(quota[2]), int(quota[3])
         if customer >= 1 << 33:
             raise BadRequest(400, "account out of range")
@@ -95,7 +95,7 @@
     """Request line and end-to-end headers, unchanged; the length only where a body may come."""
     dropped = _NOT_FORWARDED
     if named := b",".join([value for name, value in headers if name == b"connection"]):
-        dropped |= {part.strip().lower() for part in named.split(b",")} - _READ
+        dropped |= {part.strip().lower() for part in named.split(b",")} - MEANT
     lines = [b"%b %b HTTP/1.1" % (method, url)]
     lines += [b"%b: %b" % pair for pair in headers if pair[0] not in dropped]
     if method != b"GET":
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -19,6 +19,7 @@
 from troutdock.http.age import received_ago_ms
 from troutdock.http.request import Reader
 from troutdock.http.response import MAX_BODY, MAX_HEAD, Response
+from troutdock.http.status import FAILED, PASSED_ON
 from troutdock.overload.lag import Lag
 
 log = logging.getLogger("troutdock")
@@ -35,8 +36,6 @@
 ACCEPT_PAUSE_S = 0.05
 DRAIN_ACCEPT_S, DRAIN_QUIET_S, DRAIN_MOST_S = 0.4, 0.2, 1.0  # how long SIGTERM leaves the door open
 
-PASSED_ON = (b"content-type", b"content-encoding")
-FAILED = {Failure.ATTEMPT: 502, Failure.UNANSWERED: 504, Failure.INTERNAL: 500, Failure.CLOSED: 500}
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
--- a/troutdock/library/deployment.py
+++ b/troutdock/library/deployment.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from secrets import randbits
 
-from tamarindfold.interface import BackendEntry, Effect, FleetUpdate, ListKind, Plan, RequestClass, Settings
+from tamarindfold.interface import BackendEntry, FleetUpdate, ListKind, Plan, RequestClass, Settings
 from troutdock.address import Address, parse_address
 from troutdock.http.response import MAX_BODY
 from troutdock.platform.config import MIN_SOCKETS, Config, ConfigError, load_config
@@ -113,7 +113,3 @@
             known=(FleetUpdate(ListKind.CACHED, [BackendEntry(b) for b in endpoints]), endpoints),
             settings=settings, sockets=sockets, max_answer=max_answer_bytes,
             connect_timeout_s=connect_timeout_s, idle_s=idle_s))
-
-    def effect(self, cls: str) -> Effect | None:
-        """What running a request of this class twice would do; None for a class that there is not."""
-        return next((c.effect for c in self.config.settings.classes if c.name == cls), None)
--- a/troutdock/library/facts.py
+++ b/troutdock/library/facts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from tamarindfold.interface import Effect, RequestArrived, RequestClass, Settings
+from tamarindfold.interface import RequestArrived, RequestClass, Settings
 from troutdock.engine import BadRequest
 
 CUSTOMERS = 1 << 33  # a customer is a number below it, as the protocol has it
@@ -77,7 +77,3 @@
             raise BadRequest(400, "time-out, units or the customer's ingresses are out of range")
         return RequestArrived(0, customer, plan, number, facts.units, facts.first, width, timeout_ms,
                               facts.retry)
-
-    def repeatable(self, facts: Facts) -> bool:
-        """True if another attempt may follow one that may have run."""
-        return self.request_class(facts.cls)[1].effect is not Effect.UNSAFE
