Turn away what has waited for this process; connections in use are not cut

Need: past its own limit the ingress answered requests long after their clients had given up, and cut connections whose next request was on its way.

Change: a message's wait in the kernel is known (TCP_INFO); where it is past a part of the class's aim, by worth, plan and whether the customer is beyond its bucket or early, the decision module refuses it (RequestWaited) with DIBA's return time, before the request is read in full, and without call, timers or counter. What a client that has left asked is dropped. Idle connections are cut only after half a second out of use; with 7/8 of the places taken answers carry Connection: close.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -12,7 +12,7 @@
 from tamarindfold.interface import (
     Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
-    RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
+    RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
 )
 
 # ---- tuned constants
@@ -42,6 +42,8 @@
 RETRY_PART, RETRY_MOST = 0.1, 10.0  # further attempts earned by each first try; saved up at most
 PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
+WAIT_PART, WAIT_LEAST = 0.25, 0.4  # of the aim: the wait for this process that work of most worth may have
+BEYOND = 0.3  # had, and of none; of that: for a customer beyond its bucket, or a marked retry before its time
 RESOLVE, REACH_MS = 16.0, 300.0  # how sharply sends thin out past the patience; a send arrives by then
 
 
@@ -207,10 +209,12 @@
         self.forget_ms = max([FORGET_MS] + [1000 * full / rate for p in settings.plans for full, rate in
                                             ((p.burst, p.rate), (p.ceiling_burst, p.ceiling_rate)) if rate])
         self.started = inf  # when the first event came
+        self.most_worth = max(c.worth for c in settings.classes) * max(p.price for p in settings.plans) or 1.0
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
-            RequestArrived: self.arrived, AttemptEnded: self.ended, CountAnswered: self.count_answered,
-            FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn, TimerFired: self.overdue}
+            RequestArrived: self.arrived, RequestWaited: self.waited, AttemptEnded: self.ended,
+            CountAnswered: self.count_answered, FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn,
+            TimerFired: self.overdue}
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -224,7 +228,7 @@
 
     # ---- quotas: the ordinary path
 
-    def customer(self, now: float, event: RequestArrived) -> Customer:
+    def customer(self, now: float, event: RequestArrived | RequestWaited) -> Customer:
         """The customer of a request; one long unseen is dropped: a fresh one does as well."""
         known = self.customers.pop(event.customer, None)
         if known is None:
@@ -267,6 +271,25 @@
             return self.admit(now, call, True)  # a full bucket does, or a large request never would pass
         self.refuse(now, call)
 
+    def waited(self, now: float, event: RequestWaited) -> None:
+        """Guards this process: what waited past its part of the aim is refused before work is spent on it.
+
+        The bound is on each message's own wait, not on a rate: it needs no memory of the load, is gone with
+        it, and can't lock anybody out. The most worth may wait longest; who is beyond its bucket, or comes
+        before its time, goes first, so that nobody's retries take the place of another.
+        """
+        customer, marks, cls = self.customer(now, event), self.settings.marks_retry, event.cls
+        kind, plan = self.settings.classes[cls], customer.plan
+        early = marks and event.retry and not (customer.appointments and customer.appointments[0] <= now)
+        beyond = (plan.rate and customer.tokens < event.units) or \
+            (plan.ceiling_rate and customer.cap_tokens < event.units)
+        part = WAIT_LEAST + (1 - WAIT_LEAST) * kind.worth * plan.price / self.most_worth
+        if event.waited_ms > WAIT_PART * kind.aim_ms * part * (BEYOND if early or beyond else 1.0):
+            if event.retry and marks and customer.appointments:
+                customer.appointments.popleft()
+            wait = customer.return_time(now, event.units, NO_SHOW_MS * marks)
+            self.actions.append(Refuse(0, wait))
+
     def admit(self, now: float, call: Call, inside: bool, counted: bool = False) -> None:
         """Send what the quota lets pass, unless the fleet is pressed."""
         event, customer = call.event, call.customer
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -205,6 +205,23 @@
     max_attempts: int = 0
 
 
+@dataclass(slots=True)
+class RequestWaited:
+    """A client's try has waited so long for this process, before any work was spent on it.
+
+    The answer is a Refuse of request 0: its final answer; or nothing: RequestArrived may follow. The fields
+    are those of RequestArrived.
+    """
+
+    customer: int
+    plan: int
+    cls: int
+    units: float
+    width: int
+    retry: bool
+    waited_ms: float
+
+
 @dataclass(slots=True)
 class AnswerBegan:
     """A streamed answer has begun; from now on it is the client's."""
@@ -276,8 +293,8 @@
     total: float
 
 
-Event = (FleetUpdate | RequestArrived | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired
-         | ProbeEnded | PeerMessage | CountAnswered)
+Event = (FleetUpdate | RequestArrived | RequestWaited | AnswerBegan | AttemptEnded | RequestWithdrawn
+         | TimerFired | ProbeEnded | PeerMessage | CountAnswered)
 
 
 # ---- actions
--- a/tests/http/test_age.py
+++ b/tests/http/test_age.py
@@ -83,7 +83,7 @@
             seen = events_of(w)
             with socket.create_connection(w.address) as client:
                 await asyncio.sleep(0.05)  # accepted
-                client.sendall(request(Request_Timeout="1.500"))
+                client.sendall(request("ledger-read", Request_Timeout="1.500"))
                 time.sleep(BUSY_S)
                 await until(lambda: any(isinstance(e, RequestArrived) for e in seen))
             (arrived,) = [e for e in seen if isinstance(e, RequestArrived)]
@@ -104,3 +104,57 @@
     assert received_ago_ms(Silent(None)) == received_ago_ms(Silent(b"short")) == 0.0
     assert received_ago_ms(Silent(b"\xff" * 56)) == 0.0  # never
     assert received_ago_ms(Silent(bytes(52) + (7).to_bytes(4, "little"))) in (7.0, 0.0)  # by the byte order
+
+
+def test_a_request_that_waited_for_this_process_is_refused_at_once_with_a_time() -> None:
+    """Before any work: the decision module makes no call of it, and no backend hears of it."""
+    async def test() -> None:
+        async with world(answer()) as w:
+            clients = [await w.client() for _ in range(3)]
+            for n, c in enumerate(clients):  # so that all connections are up
+                assert (await c.ask(request("ledger-read", n + 1)))[0] == 200
+            sent = len(w.backends[0].requests)
+            await asyncio.sleep(0.05)
+            for n, c in enumerate(clients):
+                c.writer.write(request("vat-filing", 10 + n))  # written now; read after the pause
+            time.sleep(2 * BUSY_S)
+            for c in clients:
+                status, head, _ = await c.answer()
+                assert status == 429 and b"retry-after" in head.lower() and b"close" not in head.lower()
+            assert w.engine.tally.turned_away == 3 and w.engine.open == 0 and w.gateway.calls == {}
+            assert len(w.backends[0].requests) == sent
+            await asyncio.sleep(0.2)
+            assert (await clients[0].ask(request("vat-filing", 20)))[0] == 200  # nothing is left of it
+    run(test())
+
+
+def test_a_late_request_that_makes_no_sense_is_still_told_why() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            c = await w.client()
+            assert (await c.ask(request("ledger-read", 1)))[0] == 200
+            await asyncio.sleep(0.05)
+            c.writer.write(request("ledger-read", 2, Plan="gold"))
+            time.sleep(2 * BUSY_S)
+            assert (await c.answer())[0] == 400
+    run(test())
+
+
+def test_what_a_client_that_has_left_asked_late_is_not_done() -> None:
+    """Else a storm is answered long after it has gone, and all that is new waits behind it."""
+    async def test() -> None:
+        async with world(answer()) as w:
+            kept = socket.create_connection(w.address)
+            kept.sendall(request("ledger-read", 1))
+            await until(lambda: w.engine.tally.served == 1)
+            await asyncio.sleep(0.05)
+            new = socket.create_connection(w.address)  # never accepted before it ends
+            for number, sock in enumerate((kept, new)):
+                sock.sendall(request("payment-book", 2 + number))
+                sock.close()
+            time.sleep(0.1)  # short enough that they would not be turned away
+            await asyncio.sleep(0.2)
+            assert len(w.backends[0].requests) == 1 and w.engine.open == 0
+            assert w.engine.tally.taken == 1
+            assert (await w.ask(request("payment-book", 4)))[0] == 200
+    run(test())
--- /dev/null
+++ b/tests/http/test_places.py
@@ -0,0 +1,60 @@
+"""Places of clients: connections in use end with an answer that says so, and are not cut between requests."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from typing import Any
+
+import pytest
+from loopback import answer, request, run, until, world
+
+
+async def asks_in_a_row(w: Any, number: int, times: int, told: list[str], kept: bool = True) -> None:
+    """An ordinary client: it keeps its connection until it is told to end, and shows a reset to its user."""
+    client = None
+    for n in range(times):
+        client = client or await w.client()
+        try:
+            status, head, _ = await client.ask(request("ledger-read", number * 1000 + n + 1,
+                                                       Account=f"{number:016x}"))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            told.append("reset")
+            client = None
+            continue
+        told.append(str(status))
+        if b"connection: close" in head.lower():
+            told.append("end")
+            client = None
+
+
+@pytest.mark.parametrize(("clients", "sockets"), [(13, 80), (40, 80), (128, 1024)])
+def test_clients_that_ask_in_a_row_are_never_reset(clients: int, sockets: int) -> None:
+    """128 of them within 488 places, and more of them than there are places."""
+    async def test() -> None:
+        async with world(answer(), sockets=sockets) as w:
+            told: list[str] = []
+            await asyncio.gather(*(asks_in_a_row(w, n + 1, 8, told) for n in range(clients)))
+            assert "reset" not in told
+            assert len([t for t in told if t != "end"]) == clients * 8
+            if clients < (sockets - 48) // 2 * 0.8:
+                assert "end" not in told  # there was room for all
+            if clients > (sockets - 48) // 2:
+                assert "end" in told
+    run(test())
+    gc.collect()
+
+
+def test_connections_that_never_ask_make_room() -> None:
+    """Guards the door: places all held by idle connections are free again once those are out of use."""
+    async def test() -> None:
+        async with world(answer(), sockets=80) as w:
+            server = w.service._server
+            idle = [await w.client() for _ in range(16)]
+            for n, client in enumerate(idle[:12]):
+                assert (await client.ask(request("ledger-read", n + 1)))[0] == 200
+            await until(lambda: len(server._clients) >= 12)
+            assert (await asyncio.wait_for(w.ask(request("ledger-read", 99)), 3))[0] == 200
+            late = [w.ask(request("ledger-read", 100 + n)) for n in range(16)]
+            assert {status for status, _, _ in await asyncio.gather(*late)} == {200}
+    run(test())
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -32,7 +32,7 @@
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
     Action, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
-    Outcome, Refuse, RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
+    Outcome, Refuse, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
 )
 from troutdock.engine.attempt import Attempt
 from troutdock.engine.ports import Answer, Clock, Counter, Exchange, Timer, Timers, Transport
@@ -63,6 +63,7 @@
     refused: int = 0
     failed: int = 0
     withdrawn: int = 0
+    turned_away: int = 0  # of the refused, those that were so before any work was spent on them
 
 
 class Call:
@@ -151,6 +152,22 @@
             call.deadline = self._timers.call_later(left_s, self._time_is_up, call)
         return call
 
+    def turn_away(self, event: RequestWaited, exchange: Exchange) -> bool:
+        """Refuse a request that has waited too long for this process; false: it may go the ordinary way.
+
+        The cheap way: no call, no timers, no counter. The gateway decides.
+        """
+        actions = self._gateway.handle(self.clock.now(), event)
+        if not actions:
+            return False
+        refusal = actions[0]
+        assert isinstance(refusal, Refuse)
+        self.tally.taken += 1
+        self.tally.refused += 1
+        self.tally.turned_away += 1
+        exchange.refused(refusal.retry_after_ms)
+        return True
+
     def withdraw(self, call: Call) -> None:
         """The client has left; harmless once the call is concluded."""
         if self._conclude(call):
--- a/troutdock/http/age.py
+++ b/troutdock/http/age.py
@@ -1,4 +1,4 @@
-"""How long ago a connection's last bytes came, as the kernel saw it: the delay until they are handled."""
+"""What the kernel knows of a connection that is handled late: its last bytes' age, and its end."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 _LAST_DATA_RECEIVED = 52  # byte at which Linux's struct tcp_info has tcpi_last_data_recv (linux/tcp.h), in ms
 _SIZE = _LAST_DATA_RECEIVED + 4
 _UNSIGNED = struct.Struct("=I")
+_ENDED = (7, 8)  # in struct tcp_info's first byte: TCP_CLOSE after a reset, TCP_CLOSE_WAIT after a FIN
 _MOST_MS = 60_000  # beyond that the kernel speaks of something else
 
 
@@ -19,6 +20,15 @@
         """As the system call."""
 
 
+def has_left(sock: Socket) -> bool:
+    """The peer has ended its side, which the loop has not read yet; false where the system does not tell."""
+    try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except (OSError, AttributeError):
+        return False
+    return state[0] in _ENDED
+
+
 def received_ago_ms(sock: Socket) -> float:
     """Milliseconds since the last bytes arrived, in steps of a few; 0 where the system does not tell."""
     try:
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Sequence
 
-from tamarindfold.interface import Effect, RequestArrived, Settings
+from tamarindfold.interface import Effect, RequestArrived, RequestWaited, Settings
 from troutdock.engine import BadRequest, Request
 
 ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
@@ -84,6 +84,22 @@
         return HttpRequest(seen[b"request-id"], head, body, arrival, effect is not Effect.UNSAFE)
 
 
+    def waited(self, url: bytes, headers: Headers, waited_ms: float) -> RequestWaited | None:
+        """What decides whether a request is turned away unread; None: it has to be read to be answered."""
+        seen = dict(headers)
+        cls = self._classes.get(url[:max(0, url.find(b"/", 1))] or url.partition(b"?")[0])
+        plan = self._plans.get(seen.get(b"plan", b""))
+        account = ACCOUNT.fullmatch(seen.get(b"account", b""))
+        quota = QUOTA.fullmatch(seen.get(b"quota-info", b""))
+        if cls is None or plan is None or account is None or quota is None or len(seen) < len(headers):
+            return None
+        customer, units, width = int(account[0], 16), float(quota[1]), int(quota[2])
+        if customer >= 1 << 33 or not (0 < units <= self._most_units and 1 <= width <= self._gateways):
+            return None
+        retry = seen.get(b"client-retry") == b"1"
+        return RequestWaited(customer, plan, cls[0], units, width, retry, waited_ms)
+
+
 def _match(pattern: re.Pattern[bytes], seen: dict[bytes, bytes], name: bytes) -> re.Match[bytes]:
     found = pattern.fullmatch(seen.get(name, b""))
     if found is None:
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -16,7 +16,7 @@
 
 from troutdock.address import Address
 from troutdock.engine import BadRequest, Call, Engine, Failure
-from troutdock.http.age import received_ago_ms
+from troutdock.http.age import has_left, received_ago_ms
 from troutdock.http.request import Reader
 from troutdock.http.response import MAX_BODY, MAX_HEAD, Response
 from troutdock.http.status import FAILED, PASSED_ON
@@ -28,10 +28,13 @@
 MAX_MESSAGE = 8 * MAX_BODY  # bytes of one message in all, chunk framing too
 MESSAGE_S = 2.0  # for a message, from its first byte on; for the first one, from the connection's start on
 IDLE_S = 10.0  # a client's connection between requests is closed after this
+CROWDED_PART = 0.875  # of the places: with more taken, answers end their connections
 IDLE_PART = 4  # at most one place in so many is kept for connections between requests
+USED_S = 0.5  # a connection between requests for less is in use: closing it would cross the next request
 LINGER_S = 1.0  # what a client still sends is read and dropped for so long, so that it can read its answer
 FRESH_S = 0.05  # a connection younger than this may be about to bring its request
 BACKLOG = 1024
+NOTICED_MS = 10.0  # a shorter wait for this process turns nobody away: not worth asking
 ACCEPT_AT_ONCE = 16  # connections, before those accepted are listened to
 ACCEPT_PAUSE_S = 0.05
 DRAIN_ACCEPT_S, DRAIN_QUIET_S, DRAIN_MOST_S = 0.4, 0.2, 1.0  # how long SIGTERM leaves the door open
@@ -77,7 +80,7 @@
         if self.reply is not None:
             raise RuntimeError("a second answer to one request")
         self.call = None  # nothing is left to withdraw, and no cycle for the collector
-        if self.connection.server.draining:
+        if self.connection.server.draining or self.connection.server.crowded:
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b"")), b"Content-Length: %d" % len(body)]
         lines += [b"%b: %b" % pair for pair in headers]
@@ -262,6 +265,14 @@
         if self._url == b"/healthz" and method == b"GET":
             exchange.answer(200 if self.server.engine.ready and not self.server.draining else 503)
             return
+        waited_ms = self.server.engine.clock.now() - exchange.arrived
+        if waited_ms > NOTICED_MS:
+            if self.sock is not None and has_left(self.sock):
+                self._exchanges.pop()  # the connection's end, unread yet, withdraws those before it
+                return
+            waited = self.server.reader.waited(self._url, self._headers, waited_ms)
+            if waited is not None and self.server.engine.turn_away(waited, exchange):
+                return
         try:
             request = self.server.reader.read(method, self._url, self._headers, b"".join(self._body))
             call = self.server.engine.arrive(request, exchange)
@@ -355,6 +366,9 @@
                 self._pause()
                 self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
+            if self.lag.notable and has_left(sock):
+                sock.close()  # nobody waits for what it asked
+                continue
             if spare is not None:
                 self.forget(spare)
                 spare.make_room()
@@ -376,11 +390,19 @@
     def _spare(self) -> ClientConnection | None:
         """The connection that is missed least: answered for good, then without a request, then idle.
 
-        One that has only just come has had no time to ask, unless there are many of them.
+        One that has only just come has had no time to ask, unless there are many of them. One that is in use
+        is not cut: its next request may be on its way, and an ordinary client shows the reset to its user.
+        It is told with its answer to end (`crowded`), and that gives the place.
         """
         many = len(self.waiting) > self._max_clients // 4
-        return (self.ending.first() or self.waiting.first(inf if many else time.monotonic() - FRESH_S)
-                or self.idle.first() or self.waiting.first())
+        now = time.monotonic()
+        return (self.ending.first() or self.waiting.first(inf if many else now - FRESH_S)
+                or self.idle.first(now - USED_S))
+
+    @property
+    def crowded(self) -> bool:
+        """Places are short: connections are to end with their next answer, before any has to be cut."""
+        return len(self._clients) + self._coming > self._max_clients * CROWDED_PART
 
     def admit(self, connection: ClientConnection) -> None:
         """A connection is up."""
@@ -403,21 +425,20 @@
             self.ending.add(late)
             late.time_out()
         self._close_idle(now - IDLE_S)
+        # Guards against clients that ask once and keep their connection: what they may hold is bounded too,
+        # and with all of it standing idle they can ask nothing more, while places here are free. It could
+        # hurt a crowd of clients that each come back seldom, by a new connection for each request.
+        while len(self.idle) > self._max_idle and (longest := self.idle.first(now - USED_S)) is not None:
+            self._close(longest)
+        if self.idle.first(now - USED_S) is not None:
+            self._resume()  # one that is not in use can make room
         while (late := self.ending.first(now - LINGER_S)) is not None:
             self.ending.drop(late)
             late.abort()
 
     def rest(self, connection: ClientConnection) -> None:
-        """A connection has its answer; the one longest between requests goes where too many are.
-
-        Guards against clients that ask once and keep their connection: what they may hold is bounded too, and
-        with all of it standing idle they can ask nothing more, while places here are free. One that is used
-        again and again stays, as it is never the longest idle. It could hurt a crowd of clients that each
-        come back seldom, by a new connection for each request.
-        """
+        """A connection has its answer, and stands between requests."""
         self.idle.add(connection)
-        if len(self.idle) > self._max_idle and (longest := self.idle.first()) is not None:
-            self._close(longest)
 
     def _close(self, connection: ClientConnection) -> None:
         self.idle.drop(connection)
