A client's retry of a payment that may have run is never sent outside the nodes' window

Need: a payment-book retry that reached the ingress after the nodes' repeat window was booked a second time: the window was kept within one request only.

Change: the decision module remembers the keys of what was sent and may have run (20,000 keys, ten minutes, the oldest forgotten first). A retry inherits the first send's window and group; after it, it fails at once. Where it can't be known (a marked retry to a gateway younger than a client's deadline) it fails as well; classes whose repeats only a group drops are not turned away unread.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -43,6 +43,7 @@
 PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
 WAIT_PART, WAIT_LEAST = 0.25, 0.4  # of the aim: the wait for this process that work of most worth may have
+KEYS, KEY_MS = 20_000, 600_000.0  # keyed requests that are remembered as sent: at most, and for how long
 BEYOND = 0.3  # had, and of none; of that: for a customer beyond its bucket, or a marked retry before its time
 RESOLVE, REACH_MS = 16.0, 300.0  # how sharply sends thin out past the patience; a send arrives by then
 
@@ -193,6 +194,31 @@
         self.ran_until = inf
 
 
+class Booked:
+    """Which keyed requests were sent and may have run: a client's retry must not run them a second time.
+
+    Nodes drop repeats within the class's window, counted from the first send. What is forgotten, by age or
+    for want of room, is the oldest; a retry of it counts as a first try.
+    """
+
+    def __init__(self) -> None:
+        self.first: dict[int, tuple[float, tuple[Group, int]]] = {}  # when, and whose backends know it
+
+    def sent(self, now: float, key: int, group: tuple[Group, int]) -> None:
+        """An attempt goes out; only the first of a key counts."""
+        if key and key not in self.first:
+            self.first[key] = now, group
+            oldest = next(iter(self.first))
+            if len(self.first) > KEYS or now - self.first[oldest][0] > KEY_MS:
+                del self.first[oldest]
+
+    def recall(self, now: float, call: Call) -> None:
+        """What an earlier try of the request has left is true of this one."""
+        if (known := self.first.get(call.event.key)) is not None and now - known[0] < KEY_MS:
+            call.may_have_run, call.ran_group = True, known[1]
+            call.ran_until = known[0] + call.cls.window_ms
+
+
 class Gateway:
     """Decides for one gateway; hand it every event and carry out the actions it gives back."""
 
@@ -201,6 +227,7 @@
         self.counting = settings.counter and not settings.meter_ms
         self.backends: dict[int, Backend] = {}
         self.customers: dict[int, Customer] = {}
+        self.booked = Booked()
         self.counts: dict[int, deque[tuple[Customer, float, float, Call | None]]] = {}  # calls not answered
         self.calls: dict[int, Call] = {}
         self.pools = {0: Pool(settings.classes)}
@@ -253,6 +280,13 @@
         if event.retry and marks and customer.appointments:
             customer.appointments.popleft()
         pool.retries = min(RETRY_MOST, pool.retries + RETRY_PART)
+        if call.cls.effect is Effect.KEYED and event.key:
+            self.booked.recall(now, call)
+            unknown = event.retry and marks and event.key not in self.booked.first
+            # guards a fresh start: what it was before is not known, and the first try may be too old by now
+            fresh = now - self.started < call.cls.deadline_ms > call.cls.window_ms
+            if now >= call.ran_until - REACH_MS or (unknown and fresh):
+                return self.fail(call)
         room = not plan.ceiling_rate or customer.cap_tokens >= event.units
         kept = RESERVE * plan.burst * customer.share if marks and not event.retry else 0.0
         if room and (not plan.rate or customer.tokens - kept >= event.units):
@@ -280,6 +314,8 @@
         """
         customer, marks, cls = self.customer(now, event), self.settings.marks_retry, event.cls
         kind, plan = self.settings.classes[cls], customer.plan
+        if kind.effect is Effect.KEYED and kind.group is not Group.ALL:
+            return  # whether it may be refused depends on what became of its earlier tries
         early = marks and event.retry and not (customer.appointments and customer.appointments[0] <= now)
         beyond = (plan.rate and customer.tokens < event.units) or \
             (plan.ceiling_rate and customer.cap_tokens < event.units)
@@ -306,10 +342,19 @@
 
     def refuse(self, now: float, call: Call) -> None:
         """Final answer: the client is told when to come back."""
+        if call.may_have_run and call.cls.effect is Effect.KEYED and call.cls.group is not Group.ALL:
+            return self.fail(call)  # another gateway might send it elsewhere
+        if not call.may_have_run:
+            self.booked.first.pop(call.event.key, None)
         wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
         self.actions.append(Refuse(call.event.request, wait))
         self.calls.pop(call.event.request, None)
 
+    def fail(self, call: Call) -> None:
+        """Final answer: nothing is promised."""
+        self.actions.append(Fail(call.event.request))
+        self.calls.pop(call.event.request, None)
+
     # ---- what the counter knows of a customer
 
     def settle(self, now: float, customer: Customer, call: Call | None = None) -> None:
@@ -496,6 +541,8 @@
         backend.cold_left -= call.work
         pool.mean_work += (call.work - pool.mean_work) * (1 - KEEP) / 2
         call.tried.append(backend)
+        if call.event.key:
+            self.booked.sent(now, call.event.key, self.group(backend, call.cls))
         self.actions.append(Send(call.event.request, backend.entry.backend))
         self.watch(now, call, due)
 
@@ -574,8 +621,7 @@
             return  # what is out may still answer
         if refusable:
             return self.refuse(now, call)
-        self.actions.append(Fail(call.event.request))
-        self.calls.pop(call.event.request, None)
+        self.fail(call)
 
     def learn(self, now: float, backend: Backend, event: AttemptEnded, sent: Sent) -> None:
         """Every kind of sign moves one measure; what came of a request's run tells of its class only."""
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -190,6 +190,7 @@
     """A client's try; the gateway owes it one final answer within time_left_ms.
 
     pool: whose backends may take it. max_attempts: at most so many, 0 for as many as the settings say.
+    key: a number for what nodes know a keyed request by, the same in the client's retries; 0: not told.
     """
 
     request: int
@@ -203,6 +204,7 @@
     retry: bool = False
     pool: int = 0
     max_attempts: int = 0
+    key: int = 0
 
 
 @dataclass(slots=True)
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -80,6 +80,8 @@
             raise BadRequest(400, "request-timeout or quota-info out of range")
         arrival = RequestArrived(0, customer, plan, cls, units, first, width, seconds * 1000,
                                  seen.get(b"client-retry") == b"1")
+        if effect is Effect.KEYED:
+            arrival.key = key_number(seen[b"idempotency-key"])
         head = forwarded_head(method, url, headers, len(body))
         return HttpRequest(seen[b"request-id"], head, body, arrival, effect is not Effect.UNSAFE)
 
@@ -100,6 +102,11 @@
         return RequestWaited(customer, plan, cls[0], units, width, retry, waited_ms)
 
 
+def key_number(key: bytes) -> int:
+    """A number of 64 bits for an idempotency key, never 0; it means nothing in another process."""
+    return hash(key) or 1
+
+
 def _match(pattern: re.Pattern[bytes], seen: dict[bytes, bytes], name: bytes) -> re.Match[bytes]:
     found = pattern.fullmatch(seen.get(name, b""))
     if found is None:
--- a/troutdock/library/local.py
+++ b/troutdock/library/local.py
@@ -11,7 +11,7 @@
 
 from tamarindfold.interface import Effect
 from troutdock.engine import BadRequest, Call, Failure, Tally
-from troutdock.http.request import HttpRequest, forwarded_head
+from troutdock.http.request import HttpRequest, forwarded_head, key_number
 from troutdock.http.response import MAX_BODY, Response
 from troutdock.ingress import Ingress as Core
 from troutdock.library.deployment import Deployment
@@ -116,7 +116,9 @@
     id = (facts.request_id or token_hex(8)).encode()
     named = [(b"request-id", id)]
     if cls.effect is Effect.KEYED:
-        named.append((b"idempotency-key", (facts.key or token_hex(16)).encode()))
+        key = (facts.key or token_hex(16)).encode()
+        named.append((b"idempotency-key", key))
+        arrival.key = key_number(key)
     kept = [pair for pair in headers if pair[0] not in (b"request-id", b"idempotency-key")]
     for text in (target, *(part for pair in (*named, *kept) for part in pair)):
         if any(byte < 32 or byte == 127 for byte in text):
