--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -125,7 +125,9 @@
 
 @pytest.mark.parametrize(("change", "said"), [
     ({"listen": "nowhere"}, "nowhere"), ({"discovery": 7}, "7"), ({"settings": {}}, "categories.count"),
-    ({"seed": "xyz"}, "xyz"), ({"listen": None}, "None"), ({"limits": {"sockets": 9}}, "sockets"), ({"settings": 3}, "int"),
+    ({"seed": "xyz"}, "xyz"), ({"listen": None}, "None"), ({"limits": {"sockets": 9}}, "sockets"),
+    ({"damping": {"turn_of": False}}, "damping.turn_of: no such switch"), ({"damping": {"turn_away": 1}}, "damping.turn_away: 1"),
+    ({"damping": []}, "damping: an object"), ({"settings": 3}, "int"),
     ({"settings": SETTINGS | {"balancers": -1}}, "gateways"), ({"known": {"rev": 1}}, "targets"),
 ])
 def test_a_bad_configuration_is_named(change: dict[str, Any], said: str) -> None:
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -52,10 +52,10 @@
     "engine": {"engine"},
     "overload": {"overload"},
     "http": {"http", "engine", "overload", "address"},
-    "platform": {"platform", "http", "address"},
+    "platform": {"platform", "http", "overload", "address"},
     "ingress": {"engine", "http", "overload", "platform"},
     "daemon": {"ingress", "http", "platform"},
-    "library": {"library", "ingress", "engine", "http", "platform", "address"},
+    "library": {"library", "ingress", "engine", "http", "overload", "platform", "address"},
     "asgi": {"asgi", "library", "engine", "http", "platform"},
 }
 
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -22,7 +22,7 @@
         self._config = config
         self.ingress = Ingress(config)
         self._server = Server(self.ingress.engine, Reader(config.settings), half_of_sockets(config),
-                              self.ingress.lag)
+                              self.ingress.lag, config.damping)
         if config.listen is None:
             raise ValueError("a daemon needs an address to listen on")
         self.address = self._listen = config.listen
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -64,6 +64,8 @@
     failed: int = 0
     withdrawn: int = 0
     turned_away: int = 0  # of the refused, those that were so before any work was spent on them
+    retries: int = 0  # of the taken, those that their clients have marked as such
+    connections: int = 0  # of clients, where a front has such
 
 
 class Call:
@@ -140,6 +142,7 @@
         now = self.clock.now()
         arrival = request.arrival
         arrival.request = self._last_number
+        self.tally.retries += arrival.retry
         # the gateway's deadline lies before the client's, so that it tries nothing in between
         arrival.time_left_ms = max(1.0, request.timeout_ms - (now - exchange.arrived) - MARGIN_MS)
         call = Call(arrival.request, request, exchange, now + arrival.time_left_ms,
@@ -165,6 +168,7 @@
         self.tally.taken += 1
         self.tally.refused += 1
         self.tally.turned_away += 1
+        self.tally.retries += event.retry
         exchange.refused(refusal.retry_after_ms)
         return True
 
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -20,6 +20,7 @@
 from troutdock.http.request import Reader
 from troutdock.http.response import MAX_BODY, MAX_HEAD, Response
 from troutdock.http.status import FAILED, PASSED_ON
+from troutdock.overload.damping import EVERY, Damping
 from troutdock.overload.lag import Lag
 
 log = logging.getLogger("troutdock")
@@ -267,12 +268,14 @@
             return
         waited_ms = self.server.engine.clock.now() - exchange.arrived
         if waited_ms > NOTICED_MS:
-            if self.sock is not None and has_left(self.sock):
+            damping = self.server.damping
+            if damping.drop_departed and self.sock is not None and has_left(self.sock):
                 self._exchanges.pop()  # the connection's end, unread yet, withdraws those before it
                 return
-            waited = self.server.reader.waited(self._url, self._headers, waited_ms)
-            if waited is not None and self.server.engine.turn_away(waited, exchange):
-                return
+            if damping.turn_away:
+                waited = self.server.reader.waited(self._url, self._headers, waited_ms)
+                if waited is not None and self.server.engine.turn_away(waited, exchange):
+                    return
         try:
             request = self.server.reader.read(method, self._url, self._headers, b"".join(self._body))
             call = self.server.engine.arrive(request, exchange)
@@ -310,8 +313,9 @@
 class Server:
     """Accepts clients within a bound on their connections, until it is told to drain."""
 
-    def __init__(self, engine: Engine, reader: Reader, max_clients: int, lag: Lag | None = None) -> None:
-        self.lag = lag or Lag()
+    def __init__(self, engine: Engine, reader: Reader, max_clients: int, lag: Lag | None = None,
+                 damping: Damping = EVERY) -> None:
+        self.lag, self.damping = lag or Lag(), damping
         self.engine, self.reader = engine, reader
         self.draining = False
         self._max_clients = max_clients
@@ -349,7 +353,8 @@
             self._loop.remove_reader(self._listener.fileno())
 
     def _accept(self, most: int = ACCEPT_AT_ONCE) -> None:
-        for _ in range(most):
+        """Take what stands at the door; a late loop has long passes, and so takes the fewer a second."""
+        for _ in range(most if self.damping.pace_accepts else BACKLOG):
             full = len(self._clients) + self._coming >= self._max_clients
             spare = self._spare() if full else None
             if full and spare is None:
@@ -366,7 +371,7 @@
                 self._pause()
                 self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
                 return
-            if self.lag.notable and has_left(sock):
+            if self.damping.drop_departed and self.lag.notable and has_left(sock):
                 sock.close()  # nobody waits for what it asked
                 continue
             if spare is not None:
@@ -402,11 +407,13 @@
     @property
     def crowded(self) -> bool:
         """Places are short: connections are to end with their next answer, before any has to be cut."""
-        return len(self._clients) + self._coming > self._max_clients * CROWDED_PART
+        return (len(self._clients) + self._coming > self._max_clients * CROWDED_PART
+                and self.damping.polite_closing)
 
     def admit(self, connection: ClientConnection) -> None:
         """A connection is up."""
         self._coming -= 1
+        self.engine.tally.connections += 1
         self._clients[connection] = None
         self.waiting.add(connection)
 
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -11,6 +11,7 @@
 from troutdock.engine import Engine
 from troutdock.http.transport import HttpTransport
 from troutdock.overload.lag import EVERY_S, Lag
+from troutdock.overload.storm import StormWatch, Sums
 from troutdock.platform.background import Background
 from troutdock.platform.clock import SystemClock
 from troutdock.platform.config import Config
@@ -48,6 +49,7 @@
         self._discovery: Discovery | None = None  # without one the list stays as it is
         if config.discovery is not None:
             self._discovery = Discovery(config.discovery, config.lists, known.version, self.engine.fleet)
+        self.storm = StormWatch(self.engine.clock.now(), half_of_sockets(config), log.warning)
         self._watch: Background | None = None
         self._count: Background | None = None
         self._sweep: Background | None = None
@@ -95,3 +97,6 @@
         while True:
             await asyncio.sleep(SWEEP_S)
             self.transport.sweep()
+            t = self.engine.tally
+            sums = Sums(t.taken, t.refused, t.turned_away, t.retries, t.connections)
+            self.storm.look(self.engine.clock.now(), sums, self.lag.now_ms)
--- a/troutdock/library/deployment.py
+++ b/troutdock/library/deployment.py
@@ -9,6 +9,7 @@
 from tamarindfold.interface import BackendEntry, FleetUpdate, ListKind, Plan, RequestClass, Settings
 from troutdock.address import Address, parse_address
 from troutdock.http.response import MAX_BODY
+from troutdock.overload.damping import EVERY
 from troutdock.platform.config import MIN_SOCKETS, Config, ConfigError, load_config
 from troutdock.platform.discovery import Endpoints, ListReader, backend_id
 
@@ -112,4 +113,4 @@
             lists=ListReader((), ()),
             known=(FleetUpdate(ListKind.CACHED, [BackendEntry(b) for b in endpoints]), endpoints),
             settings=settings, sockets=sockets, max_answer=max_answer_bytes,
-            connect_timeout_s=connect_timeout_s, idle_s=idle_s))
+            connect_timeout_s=connect_timeout_s, damping=EVERY, idle_s=idle_s))
--- a/troutdock/platform/config.py
+++ b/troutdock/platform/config.py
@@ -11,6 +11,7 @@
 from tamarindfold.wire import parse_settings
 from troutdock.address import Address, parse_address
 from troutdock.http.response import MAX_BODY
+from troutdock.overload.damping import Damping, read_damping
 from troutdock.platform.discovery import Endpoints, ListReader
 
 MIN_SOCKETS = 64
@@ -37,6 +38,7 @@
     sockets: int
     max_answer: int  # bytes of a backend's answer
     connect_timeout_s: float
+    damping: Damping
     idle_s: float  # a backend closes a connection that has stood idle this long
 
 
@@ -94,6 +96,7 @@
             max_answer=max(MAX_BODY, int(memory_mb * 1024 * 1024 / ANSWERS_HELD)),
             connect_timeout_s=float(permissions.get("dial_timeout", 250)) / 1000,
             idle_s=float(permissions.get("conn_idle", 15_000)) / 1000,
+            damping=read_damping(raw.get("damping", {})),
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from error
