--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -634,7 +634,8 @@
         overdue = event.outcome is Outcome.CANCELLED and now > due
         if event.outcome is Outcome.OK:
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
-            pool.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN  # a jam is not learnt as usual
+            if pile < 2:  # a jam is not learnt as usual
+                pool.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN
         elif overdue or event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             # it may fail just this class; a process that has died refuses new connections too
             own = overdue or event.outcome in (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET)
