Payments refused here may come back; one request does not forget another's key

A freshly started ingress failed the marked retry of a payment that it had itself refused and told to come back. A request whose attempts surely never ran made the ingress forget its key, although another request of the same key may have run. Both have tests. Also: the storm watch keeps the sums it has.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -43,8 +43,8 @@
 PATIENCE, CHEAP_PATIENCE = 0.33, 0.25  # of the aim: the forecast that work of most and of no worth may meet
 SPARE_PATIENCE = 0.5  # of that: what requests beyond their quota may meet
 WAIT_PART, WAIT_LEAST = 0.25, 0.4  # of the aim: the wait for this process that work of most worth may have
-KEYS, KEY_MS = 20_000, 600_000.0  # keyed requests that are remembered as sent: at most, and for how long
 BEYOND = 0.3  # had, and of none; of that: for a customer beyond its bucket, or a marked retry before its time
+KEYS, KEY_MS = 20_000, 600_000.0  # keyed requests that are remembered: at most, and for how long
 RESOLVE, REACH_MS = 16.0, 300.0  # how sharply sends thin out past the patience; a send arrives by then
 
 
@@ -197,26 +197,42 @@
 class Booked:
     """Which keyed requests were sent and may have run: a client's retry must not run them a second time.
 
-    Nodes drop repeats within the class's window, counted from the first send. What is forgotten, by age or
-    for want of room, is the oldest; a retry of it counts as a first try.
+    One whose first try was refused is remembered too: its retry is known to be harmless. Nodes drop repeats
+    within the class's window, counted from the first send. What is forgotten, by age or for want of room, is
+    the oldest; a retry of it counts as a first try.
     """
 
     def __init__(self) -> None:
-        self.first: dict[int, tuple[float, tuple[Group, int]]] = {}  # when, and whose backends know it
-
-    def sent(self, now: float, key: int, group: tuple[Group, int]) -> None:
-        """An attempt goes out; only the first of a key counts."""
-        if key and key not in self.first:
-            self.first[key] = now, group
+        # when it was sent first, whose backends know it (None: it was refused unsent), by how many requests
+        self.first: dict[int, tuple[float, tuple[Group, int] | None, int]] = {}
+
+    def note(self, now: float, key: int, group: tuple[Group, int] | None) -> None:
+        """An attempt goes out, or a first try is refused (None); only the first send of a key counts."""
+        known = self.first.get(key)
+        if key and (known is None or (known[1] is None and group is not None)):
+            self.first.pop(key, None)
+            self.first[key] = now, group, 1
             oldest = next(iter(self.first))
             if len(self.first) > KEYS or now - self.first[oldest][0] > KEY_MS:
                 del self.first[oldest]
 
-    def recall(self, now: float, call: Call) -> None:
-        """What an earlier try of the request has left is true of this one."""
-        if (known := self.first.get(call.event.key)) is not None and now - known[0] < KEY_MS:
-            call.may_have_run, call.ran_group = True, known[1]
-            call.ran_until = known[0] + call.cls.window_ms
+    def recall(self, now: float, call: Call) -> bool:
+        """What an earlier try of the request has left is true of this one; false: none is known."""
+        known = self.first.get(call.event.key)
+        if known is None or now - known[0] >= KEY_MS:
+            return False
+        sent_at, group, requests = known
+        if group is not None:
+            self.first[call.event.key] = sent_at, group, requests + 1
+            call.may_have_run, call.ran_group = True, group
+            call.ran_until = sent_at + call.cls.window_ms
+        return True
+
+    def never_ran(self, now: float, key: int) -> None:
+        """A request is refused, and none of its own attempts has run; another one's of its key may have."""
+        if key and self.first.get(key, (0.0, None, 1))[2] == 1:
+            self.first.pop(key, None)
+            self.note(now, key, None)
 
 
 class Gateway:
@@ -281,8 +297,7 @@
             customer.appointments.popleft()
         pool.retries = min(RETRY_MOST, pool.retries + RETRY_PART)
         if call.cls.effect is Effect.KEYED and event.key:
-            self.booked.recall(now, call)
-            unknown = event.retry and marks and event.key not in self.booked.first
+            unknown = not self.booked.recall(now, call) and event.retry and marks
             # guards a fresh start: what it was before is not known, and the first try may be too old by now
             fresh = now - self.started < call.cls.deadline_ms > call.cls.window_ms
             if now >= call.ran_until - REACH_MS or (unknown and fresh):
@@ -323,6 +338,8 @@
         if event.waited_ms > WAIT_PART * kind.aim_ms * part * (BEYOND if early or beyond else 1.0):
             if event.retry and marks and customer.appointments:
                 customer.appointments.popleft()
+            if not event.retry:
+                self.booked.note(now, event.key, None)
             wait = customer.return_time(now, event.units, NO_SHOW_MS * marks)
             self.actions.append(Refuse(0, wait))
 
@@ -345,7 +362,7 @@
         if call.may_have_run and call.cls.effect is Effect.KEYED and call.cls.group is not Group.ALL:
             return self.fail(call)  # another gateway might send it elsewhere
         if not call.may_have_run:
-            self.booked.first.pop(call.event.key, None)
+            self.booked.never_ran(now, call.event.key)
         wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
         self.actions.append(Refuse(call.event.request, wait))
         self.calls.pop(call.event.request, None)
@@ -542,7 +559,7 @@
         pool.mean_work += (call.work - pool.mean_work) * (1 - KEEP) / 2
         call.tried.append(backend)
         if call.event.key:
-            self.booked.sent(now, call.event.key, self.group(backend, call.cls))
+            self.booked.note(now, call.event.key, self.group(backend, call.cls))
         self.actions.append(Send(call.event.request, backend.entry.backend))
         self.watch(now, call, due)
 
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -222,6 +222,7 @@
     width: int
     retry: bool
     waited_ms: float
+    key: int = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -14,7 +14,7 @@
 
 from tamarindfold import Gateway
 from tamarindfold.choice import KEY_MS, KEYS
-from tamarindfold.interface import Effect, Fail, Group, Outcome, Refuse, RequestArrived, RequestClass, Send
+from tamarindfold.interface import Effect, Fail, Group, Outcome, Refuse, RequestArrived, RequestClass, RequestWaited, Send
 
 PAY = RequestClass(1000, 4000, 5, Effect.KEYED, Group.ALL, 3000)
 CELL = RequestClass(1000, 4000, 5, Effect.KEYED, Group.CELL, 3000)
@@ -93,12 +93,37 @@
     assert isinstance(ask(g, START + OLD, 3, key=79, retry=True), Send)  # as PROTOCOL has it, within its window
 
 
+def test_what_a_fresh_gateway_has_refused_itself_may_come_back_to_it() -> None:
+    """It was told that coming back is harmless; unread or not."""
+    g = made()
+    g.handle(START, fleet())
+    assert isinstance(ask(g, START, 1), Refuse)
+    (unread,) = g.handle(START, RequestWaited(9, 0, 0, 1.0, 2, False, 900.0, 78))
+    assert isinstance(unread, Refuse)
+    g.handle(START, RequestWaited(9, 0, 0, 1.0, 2, True, 900.0, 79))  # a retry: what was before is not known
+    g.handle(START, fleet(1, 2))
+    assert isinstance(ask(g, START + 100, 2, key=77, retry=True), Send)
+    assert isinstance(ask(g, START + 100, 3, key=78, retry=True), Send)
+    assert isinstance(ask(g, START + 100, 4, key=79, retry=True), Fail)
+
+
+def test_one_request_that_never_ran_does_not_forget_another_of_its_key() -> None:
+    g = made()
+    first = ask(g, START, 1)
+    again = ask(g, START + 10, 2, retry=True)
+    g.handle(START + 30, ended(2, again.backend, Outcome.OK))
+    g.handle(START + 40, fleet())
+    g.handle(START + 50, ended(1, first.backend, Outcome.CONNECT_FAILED))  # refused: it never ran itself
+    g.handle(START + 50, fleet(1, 2))
+    assert isinstance(ask(g, START + 3500, 3, retry=True), Fail)
+
+
 def test_memory_is_bounded_and_forgets_the_oldest() -> None:
     g = made()
     for n in range(KEYS + 50):
-        g.booked.sent(START, n + 1, (Group.ALL, 0))
+        g.booked.note(START, n + 1, (Group.ALL, 0))
     assert len(g.booked.first) == KEYS and 1 not in g.booked.first and KEYS + 50 in g.booked.first
-    g.booked.sent(START + KEY_MS + 1, 1, (Group.ALL, 0))
+    g.booked.note(START + KEY_MS + 1, 1, (Group.ALL, 0))
     assert len(g.booked.first) == KEYS
     assert isinstance(ask(g, START + KEY_MS + 2, 2, key=KEYS, retry=True), Send)  # too old to be remembered
 
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -99,7 +99,8 @@
         if customer >= 1 << 33 or not (0 < units <= self._most_units and 1 <= width <= self._gateways):
             return None
         retry = seen.get(b"client-retry") == b"1"
-        return RequestWaited(customer, plan, cls[0], units, width, retry, waited_ms)
+        key = key_number(seen[b"idempotency-key"]) if b"idempotency-key" in seen else 0
+        return RequestWaited(customer, plan, cls[0], units, width, retry, waited_ms, key)
 
 
 def key_number(key: bytes) -> int:
--- a/troutdock/overload/storm.py
+++ b/troutdock/overload/storm.py
@@ -73,14 +73,15 @@
         gone_s = (now_ms - self._looked) / 1000
         if gone_s * 1000 < LOOK_MS:
             return
-        lately, self._last, self._looked = sums.since(self._last), sums, now_ms
+        before, self._last, self._looked = self._last, sums, now_ms
+        lately = sums.since(before)
         signs = self._signs(lately, gone_s, now_ms)
         part = lately.refused / lately.taken if lately.taken else 0.0
         self._fall = (self._part - part) / gone_s * 0.5 + self._fall * 0.5
         self._part = part
         if self._since is None:
             if signs:
-                self._since, self._first = now_ms - gone_s * 1000, _copy(sums, lately)
+                self._since, self._first = now_ms - gone_s * 1000, before
                 self._calm = self._quiet = 0
                 self._fall = 0.0
                 self._tell(f"storm begins: {', '.join(signs)}; {lag_ms:.0f} ms late")
@@ -120,8 +121,3 @@
         if self._fall < 0.005:
             return "not falling yet"
         return f"should end in {min(999.0, self._part / self._fall) + CALM_S:.0f} s"
-
-
-def _copy(sums: Sums, lately: Sums) -> Sums:
-    """The sums before the last look."""
-    return sums.since(lately)
