A door for operators, out of service, and upgrades at an inherited socket

The listening socket may now be inherited (RELAY_SOCKET_FD), operators call at an address of their own (management), and a process that ends with a successor at its socket leaves what is not accepted to it.

--- /dev/null
+++ b/tests/management/test_inherited.py
@@ -0,0 +1,160 @@
+"""Two processes at one listening socket, as at an upgrade; and what is no such socket."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from loopback import SETTINGS, Client, Peer, answer, request, run, target
+
+from troutdock.platform.config import ConfigError
+from troutdock.platform.inherited import inherited_socket, management_address
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+class Upgrade:
+    """Processes that share a listening socket; each has an operators' address of its own."""
+
+    def __init__(self, node: Peer, where: Path, **extra: object) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = self.socket.getsockname()
+        self.where, self.node, self.extra = where, node, extra
+        self.children: list[tuple[subprocess.Popen[bytes], tuple[str, int]]] = []
+
+    async def start(self) -> int:
+        """One more process; returns its number once it says that it takes clients."""
+        number = len(self.children)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            management = free.getsockname()
+        config = {"name": "n0", "listen": "{}:{}".format(*self.address), "discovery": "127.0.0.1:9", "seed": f"{number:x}",
+                  "limits": {"sockets": 256}, "settings": SETTINGS,
+                  "known": {"rev": 5, "all": True, "targets": [target(self.node, "s-0")]}, **self.extra}
+        file = self.where / f"{number}.json"
+        file.write_text(json.dumps(config))
+        fd = self.socket.fileno()
+        env = {**os.environ, "RELAY_CONFIG": str(file), "RELAY_SOCKET_FD": str(fd), "TMPDIR": str(self.where),
+               "RELAY_MANAGEMENT": "{}:{}".format(*management)}
+        child = subprocess.Popen([sys.executable, "-m", "troutdock"], cwd=ROOT, pass_fds=(fd,), env=env,
+                                 stderr=subprocess.DEVNULL)
+        self.children.append((child, management))
+        for _ in range(1000):
+            if await self.call(number, "GET", "ready") == 200:
+                return number
+            assert child.poll() is None, "the process has ended"
+            await asyncio.sleep(0.02)
+        raise AssertionError("never ready")
+
+    async def call(self, number: int, method: str, path: str) -> int:
+        try:
+            reader, writer = await asyncio.open_connection(*self.children[number][1])
+        except OSError:
+            return 0
+        try:
+            return (await Client(reader, writer).ask(f"{method} /control/{path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()))[0]
+        finally:
+            writer.close()
+
+    async def end(self, number: int) -> int:
+        child = self.children[number][0]
+        child.send_signal(signal.SIGTERM)
+        return await asyncio.to_thread(child.wait, 20)
+
+    def kill(self) -> None:
+        for child, _ in self.children:
+            if child.poll() is None:
+                child.kill()
+            child.wait(20)
+        self.socket.close()
+
+
+def test_clients_notice_nothing_of_an_upgrade(tmp_path: Path) -> None:
+    async def test() -> None:
+        node = Peer(answer())
+        await node.start()
+        tier = Upgrade(node, tmp_path)
+        stop = asyncio.Event()
+        served: list[int] = []
+
+        async def client(number: int) -> None:
+            """Keeps its connection as long as the ingress lets it, and never has to ask twice."""
+            count, reader, writer = 0, None, None
+            while not stop.is_set():
+                if writer is None:
+                    reader, writer = await asyncio.open_connection(*tier.address)
+                count += 1
+                status, head, _ = await Client(reader, writer).ask(
+                    request("ledger-read", number * 100_000 + count, Account=f"{number + 1:016x}"))
+                assert status in (200, 429)
+                served.append(status)
+                if b"connection: close" in head.lower():
+                    writer.close()
+                    writer = None
+                await asyncio.sleep(0.01)
+            if writer is not None:
+                writer.close()
+
+        try:
+            await tier.start()
+            clients = [asyncio.create_task(client(n)) for n in range(6)]
+            for successor in (1, 2):
+                assert await tier.start() == successor
+                assert await tier.end(successor - 1) == 0
+            before = len(served)
+            await asyncio.sleep(0.2)
+            stop.set()
+            await asyncio.gather(*clients)
+            assert len(served) > before and served.count(200) > len(served) // 2
+        finally:
+            tier.kill()
+            node.stop()
+    run(test())
+
+
+def test_what_is_not_accepted_yet_is_the_successors(tmp_path: Path) -> None:
+    async def test() -> None:
+        node = Peer(answer())
+        await node.start()
+        tier = Upgrade(node, tmp_path)
+        try:
+            await tier.start()
+            assert await tier.end(0) == 0
+            reader, writer = await asyncio.open_connection(*tier.address)  # nobody accepts, and nobody resets
+            writer.write(request())
+            await tier.start()
+            assert (await Client(reader, writer).answer())[0] == 200
+            writer.close()
+        finally:
+            tier.kill()
+            node.stop()
+    run(test())
+
+
+@pytest.mark.parametrize("text", ["x", "-1", "999999", ""])
+def test_what_is_no_descriptor_is_an_error_that_names_it(text: str) -> None:
+    if not text:
+        assert inherited_socket({"RELAY_SOCKET_FD": text}) is None and inherited_socket({}) is None
+        return
+    with pytest.raises(ConfigError, match="RELAY_SOCKET_FD"):
+        inherited_socket({"RELAY_SOCKET_FD": text})
+
+
+def test_a_socket_that_does_not_listen_is_an_error_and_stays_open() -> None:
+    with socket.socket() as sock:
+        with pytest.raises(ConfigError, match="no listening socket"):
+            inherited_socket({"RELAY_SOCKET_FD": str(sock.fileno())})
+        os.fstat(sock.fileno())
+    with pytest.raises(ConfigError, match="RELAY_MANAGEMENT"):
+        management_address("nowhere")
+
+
+def test_a_file_that_is_no_socket_is_an_error(tmp_path: Path) -> None:
+    with (tmp_path / "file").open("w") as file, pytest.raises(ConfigError, match="is no socket"):
+        inherited_socket({"RELAY_SOCKET_FD": str(file.fileno())})
--- a/tests/peers/loopback.py
+++ b/tests/peers/loopback.py
@@ -173,8 +173,11 @@
 
 @asynccontextmanager
 async def world(*scripts: Script, counter: Script | None = None, read_counter: Any = None, sockets: int = 1024,
-                discovery: Script = silence, settings: dict[str, Any] | None = None, boots: Sequence[int] = ()) -> Any:
-    """An ingress with a backend for each script, known to it from the start; boots: when each has started."""
+                discovery: Script = silence, settings: dict[str, Any] | None = None, boots: Sequence[int] = (), management: str = "") -> Any:
+    """An ingress with a backend for each script, known to it from the start; boots: when each has started.
+
+    management: the operators' address, where there is one.
+    """
     async with AsyncExitStack() as stack:
         w = World(stack)
         w.backends = [Peer(script) for script in scripts]
@@ -186,6 +189,8 @@
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": w.discovery.address, "seed": "07",
                   "limits": {"sockets": sockets}, "settings": used,
                   "known": {"rev": 5, "all": True, "targets": [target(b, f"s-{n}", boot_ms=boots[n] if boots else 0) for n, b in enumerate(w.backends)]}}
+        if management:
+            config["management"] = management
         if counter is not None:
             w.counter = Peer(counter, read_counter)
             await w.counter.start()
--- a/troutdock/__main__.py
+++ b/troutdock/__main__.py
@@ -7,12 +7,15 @@
 import logging
 import os
 import signal
+import socket
 import sys
+from dataclasses import replace
 
 import uvloop
 
 from troutdock.daemon import Service, serve
 from troutdock.platform.config import Config, ConfigError, load_config
+from troutdock.platform.inherited import inherited_socket, management_address
 
 log = logging.getLogger("troutdock")
 
@@ -47,11 +50,11 @@
             self.ask()
 
 
-async def _run(config: Config, path: str, reloads: Reloads) -> None:
+async def _run(config: Config, path: str, reloads: Reloads, listener: socket.socket | None) -> None:
     stop = asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(signum, stop.set)
-    await serve(config, stop, lambda service: reloads.follow(service, path))
+    await serve(config, stop, lambda service: reloads.follow(service, path), listener)
 
 
 def main() -> int:
@@ -61,6 +64,9 @@
     try:
         path = os.environ["RELAY_CONFIG"]
         config = load_config(path)
+        if config.management is None and (address := os.environ.get("RELAY_MANAGEMENT")):
+            config = replace(config, management=management_address(address))
+        listener = inherited_socket(os.environ)
     except KeyError:
         print("troutdock: RELAY_CONFIG is not set", file=sys.stderr)
         return 2
@@ -70,7 +76,7 @@
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER, 20, 20)
     try:
-        uvloop.run(_run(config, path, reloads))
+        uvloop.run(_run(config, path, reloads, listener))
     except OSError as error:
         print(f"troutdock: can't serve: {error}", file=sys.stderr)
         return 1
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import logging
+import socket
+import time
 from collections.abc import Callable
 
+from troutdock.address import Address
 from troutdock.http.request import Reader
 from troutdock.http.server import Server
+from troutdock.management.door import Door
 from troutdock.ingress import SWEEP_S, Ingress, half_of_sockets
 from troutdock.platform.background import Background
 from troutdock.platform.config import Config
@@ -18,19 +22,28 @@
 class Service:
     """One daemon."""
 
-    def __init__(self, config: Config) -> None:
-        self._config = config
+    def __init__(self, config: Config, listener: socket.socket | None = None) -> None:
+        """listener: the clients' listening socket, where the platform holds it."""
+        self._config, self._listener = config, listener
         self.ingress = Ingress(config)
         self._server = Server(self.ingress.engine, Reader(config.settings), half_of_sockets(config),
                               self.ingress.lag, config.damping)
         if config.listen is None:
             raise ValueError("a daemon needs an address to listen on")
         self.address = self._listen = config.listen
+        away = self._server.availability
+        self._door = Door({
+            b"/control/ready": (b"GET", lambda: self._server.healthy),
+            b"/control/out-of-service": (b"POST", lambda: away.take_out(time.monotonic())),
+            b"/control/in-service": (b"POST", lambda: away.put_back(time.monotonic()))})
+        self.management: Address | None = None
 
     async def run(self, stop: asyncio.Event, serving: Callable[[Service], object]) -> None:
         """Serve until stop is set, then drain; serving is told once the door is open."""
+        if self._config.management is not None:
+            self.management = await self._door.listen(self._config.management)
         await self.ingress.start()
-        self.address = self._server.listen(self._listen)
+        self.address = self._server.listen(self._listen, self._listener)
         sweep = Background("the sweep of clients", self._sweep)
         serving(self)
         log.info("%s: serving on %s:%d, %d backends known", self._config.name, *self.address,
@@ -38,6 +51,7 @@
         await stop.wait()
         log.info("draining")
         await self._server.drain()
+        self._door.close()
         await sweep.stop()
         await self.ingress.close()
         log.info("drained")
@@ -53,6 +67,7 @@
 
 
 async def serve(config: Config, stop: asyncio.Event,
-                serving: Callable[[Service], object] = lambda service: None) -> None:
+                serving: Callable[[Service], object] = lambda service: None,
+                listener: socket.socket | None = None) -> None:
     """Serve until stop is set, then drain."""
-    await Service(config).run(stop, serving)
+    await Service(config, listener).run(stop, serving)
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -20,6 +20,7 @@
 from troutdock.http.request import Reader
 from troutdock.http.response import MAX_BODY, MAX_HEAD, Response
 from troutdock.http.status import FAILED, PASSED_ON
+from troutdock.management.availability import Availability, State
 from troutdock.overload.damping import EVERY, Damping
 from troutdock.overload.lag import Lag
 
@@ -39,6 +40,9 @@
 ACCEPT_AT_ONCE = 16  # connections, before those accepted are listened to
 ACCEPT_PAUSE_S = 0.05
 DRAIN_ACCEPT_S, DRAIN_QUIET_S, DRAIN_MOST_S = 0.4, 0.2, 1.0  # how long SIGTERM leaves the door open
+# Out of service, or with a successor at the same socket: connections in use end with their answers meanwhile,
+# so that hardly a request is left to cross the close of an idle one. The platform looks after 4 s.
+SENT_AWAY_S = 1.0
 
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -81,7 +85,8 @@
         if self.reply is not None:
             raise RuntimeError("a second answer to one request")
         self.call = None  # nothing is left to withdraw, and no cycle for the collector
-        if self.connection.server.draining or self.connection.server.crowded:
+        server = self.connection.server
+        if server.availability.sends_away or server.crowded:
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b"")), b"Content-Length: %d" % len(body)]
         lines += [b"%b: %b" % pair for pair in headers]
@@ -104,7 +109,7 @@
         self._parser: Any = httptools.HttpRequestParser(self)  # None once the connection is lost
         self._exchanges: deque[Exchange] = deque()
         self._received = 0  # bytes of the message that is coming
-        self._begun = False  # a message has, and is not complete
+        self.begun = False  # a message has, and is not complete
         self._in_head = True
         self._deaf = False  # the connection is about to end: nothing more is taken
         self._paused = False
@@ -136,7 +141,7 @@
             if self._exchanges:
                 self.server.waiting.drop(self)
                 self.server.idle.drop(self)
-            elif self._begun and self.server.idle.drop(self):
+            elif self.begun and self.server.idle.drop(self):
                 self.server.waiting.add(self)  # from its first byte on a message has so long to come
         if len(self._exchanges) >= MAX_PIPELINED and not self._paused:
             self._paused = True
@@ -172,7 +177,7 @@
                 return
         if not self._exchanges and not self._deaf:
             self.server.waiting.drop(self)
-            if self._begun:
+            if self.begun:
                 self.server.waiting.add(self)
             else:
                 self.server.rest(self)
@@ -194,7 +199,7 @@
 
     def time_out(self) -> None:
         """The message has not come whole in its time: an error if it has begun, and the end."""
-        if self._begun and not self._deaf:
+        if self.begun and not self._deaf:
             self._reject(408)
         else:
             self.close()
@@ -220,7 +225,7 @@
     # ---- called by the parser
 
     def on_message_begin(self) -> None:
-        self._begun = True
+        self.begun = True
         self._clear()
 
     def _clear(self) -> None:
@@ -255,7 +260,7 @@
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        self._received, self._begun = 0, False
+        self._received, self.begun = 0, False
         if self._deaf:
             return
         exchange = Exchange(self, self._parser.should_keep_alive() and not self._parser.should_upgrade())
@@ -264,7 +269,7 @@
         if not exchange.keep_alive:
             self._deaf = True
         if self._url == b"/healthz" and method == b"GET":
-            exchange.answer(200 if self.server.engine.ready and not self.server.draining else 503)
+            exchange.answer(200 if self.server.healthy else 503)
             return
         waited_ms = self.server.engine.clock.now() - exchange.arrived
         if waited_ms > NOTICED_MS:
@@ -309,6 +314,10 @@
             return connection if since < before else None
         return None
 
+    def since(self, before: float) -> list[ClientConnection]:
+        """All that came before that time."""
+        return [connection for connection, since in self._since.items() if since < before]
+
 
 class Server:
     """Accepts clients within a bound on their connections, until it is told to drain."""
@@ -317,7 +326,7 @@
                  damping: Damping = EVERY) -> None:
         self.lag, self.damping = lag or Lag(), damping
         self.engine, self.reader = engine, reader
-        self.draining = False
+        self.availability = Availability()
         self._max_clients = max_clients
         self._max_idle = max(1, max_clients // IDLE_PART)
         self._loop = asyncio.get_running_loop()
@@ -330,16 +339,28 @@
         self._coming = 0  # connections that are accepted and not up yet
         self._last_accept = 0.0
         self._accepting = False
+        self._shut = False  # the drain is about to close the listener
+        self._inherited = False
         self._listener: socket.socket
 
-    def listen(self, address: Address) -> Address:
-        """Open the door; gives the address, with the port that the system chose for 0."""
-        self._listener = socket.create_server(address, backlog=BACKLOG)
+    def listen(self, address: Address, inherited: socket.socket | None = None) -> Address:
+        """Open the door; gives the address, with the port that the system chose for 0.
+
+        inherited: a listening socket that others hold too, in place of one of its own.
+        """
+        self._inherited = inherited is not None
+        self._listener = inherited or socket.create_server(address, backlog=BACKLOG)
         self._listener.setblocking(False)
         self._resume()
+        self.availability.opened(time.monotonic())
         host, port = self._listener.getsockname()[:2]
         return host, port
 
+    @property
+    def healthy(self) -> bool:
+        """What the front is told: this process wants clients, and knows of a backend."""
+        return self.engine.ready and self.availability.takes_clients
+
     # The loop's own server can't pause accepting: it would take connections past the bound on sockets.
 
     def _resume(self) -> None:
@@ -437,7 +458,9 @@
         # hurt a crowd of clients that each come back seldom, by a new connection for each request.
         while len(self.idle) > self._max_idle and (longest := self.idle.first(now - USED_S)) is not None:
             self._close(longest)
-        if not self._accepting and not self.draining and self._spare() is not None:
+        if self.availability.state is State.OUT_OF_SERVICE:
+            self._send_away(now)
+        if not self._accepting and not self._shut and self._spare() is not None:
             self._resume()  # there is one now that can make room
         while (late := self.ending.first(now - LINGER_S)) is not None:
             self.ending.drop(late)
@@ -457,10 +480,42 @@
             self._close(late)
 
     async def drain(self) -> None:
-        """Take what still comes, finish all that was taken, then close the door."""
-        self.draining = True
+        """Take what still comes, finish all that was taken, then close the door.
+
+        An inherited socket is left at once: what stands at it is its next holder's, and nothing is lost.
+        """
         began = time.monotonic()
-        self._close_idle(began)
+        self.availability.end(began)
+        self._shut = True
+        if not self._inherited:
+            self._close_idle(began)
+            await self._take_the_last(began)
+        self._pause()
+        self._listener.close()
+        while self._coming or self._clients:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            if self._inherited:
+                self._send_away(now)
+            else:
+                while (late := self.waiting.first(now - LINGER_S)) is not None:
+                    late.abort()
+                    self.forget(late)
+                self._close_idle(now - DRAIN_QUIET_S)
+            self.sweep()
+
+    def _send_away(self, now: float) -> None:
+        """End what stands idle, once clients have had time to be told with an answer."""
+        if now - self.availability.since_s > SENT_AWAY_S:
+            self._close_idle(now - DRAIN_QUIET_S)
+            for silent in self.waiting.since(now - DRAIN_QUIET_S):
+                if not silent.begun:
+                    self.waiting.drop(silent)
+                    self.ending.add(silent)
+                    silent.close()
+
+    async def _take_the_last(self, began: float) -> None:
+        """Accept until nobody has come for a while."""
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
@@ -468,13 +523,3 @@
             if now - began > (DRAIN_ACCEPT_S if quiet else DRAIN_MOST_S):
                 break
         self._accept(BACKLOG)
-        self._pause()
-        self._listener.close()
-        while self._coming or self._clients:
-            await asyncio.sleep(0.02)
-            now = time.monotonic()
-            while (late := self.waiting.first(now - LINGER_S)) is not None:
-                late.abort()
-                self.forget(late)
-            self._close_idle(now - DRAIN_QUIET_S)
-            self.sweep()
--- /dev/null
+++ b/troutdock/management/__init__.py
@@ -0,0 +1,1 @@
+"""What operators may ask of a running process, at an address apart from the clients'."""
--- a/troutdock/platform/config.py
+++ b/troutdock/platform/config.py
@@ -40,6 +40,7 @@
     connect_timeout_s: float
     damping: Damping
     idle_s: float  # a backend closes a connection that has stood idle this long
+    management: Address | None = None  # where operators call
 
 
 def flatten(value: object, path: str = "") -> Iterator[str]:
@@ -97,6 +98,7 @@
             connect_timeout_s=float(permissions.get("dial_timeout", 250)) / 1000,
             idle_s=float(permissions.get("conn_idle", 15_000)) / 1000,
             damping=read_damping(raw.get("damping", {})),
+            management=parse_address(raw["management"]) if raw.get("management") else None,
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from error
