Settings that change at SIGHUP are taken over whole, or not at all

A file that lacks a key of the running one, or has a deadline or attempts not over 0, changes nothing. Discovery and counter are left only where their addresses change.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left
 from collections import deque
 from collections.abc import Callable
+from copy import copy
 from math import ceil, inf, sqrt
 from random import Random
 from typing import Any
@@ -12,7 +13,7 @@
 from tamarindfold.interface import (
     Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
-    RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
+    RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, TimerFired, renumbered,
 )
 
 # ---- tuned constants
@@ -45,6 +46,7 @@
 WAIT_PART, WAIT_LEAST = 0.25, 0.4  # of the aim: the wait for this process that work of most worth may have
 BEYOND = 0.3  # had, and of none; of that: for a customer beyond its bucket, or a marked retry before its time
 KEYS, KEY_MS = 20_000, 600_000.0  # keyed requests that are remembered: at most, and for how long
+LABELS = 256  # timers of one request: more than it can have attempts
 RESOLVE, REACH_MS = 16.0, 300.0  # how sharply sends thin out past the patience; a send arrives by then
 
 
@@ -162,6 +164,13 @@
         self.patience: list[float] = []  # by class, for these unit_ms
         self.patience_for: list[float] = []
 
+    def renumber(self, before: tuple[RequestClass, ...], after: tuple[RequestClass, ...]) -> None:
+        """Other classes: what work takes is kept by class, and guessed for a new one from the others."""
+        guess = sum(ms / c.aim_ms for ms, c in zip(self.unit_ms, before, strict=True)) / len(before)
+        came_from = zip(renumbered(before, after), after, strict=True)
+        self.unit_ms = [guess * c.aim_ms if n is None else self.unit_ms[n] for n, c in came_from]
+        self.patience_for = []
+
 
 class Backend:
     """What this gateway knows of one backend."""
@@ -239,8 +248,7 @@
     """Decides for one gateway; hand it every event and carry out the actions it gives back."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.random = settings, Random(seed)
-        self.counting = settings.counter and not settings.meter_ms
+        self.random = Random(seed)
         self.backends: dict[int, Backend] = {}
         self.customers: dict[int, Customer] = {}
         self.booked = Booked()
@@ -249,15 +257,41 @@
         self.pools = {0: Pool(settings.classes)}
         self.asking = ASK_FIRST
         self.crowded_at = -inf  # the last sign of a crowded counter
-        self.forget_ms = max([FORGET_MS] + [1000 * full / rate for p in settings.plans for full, rate in
-                                            ((p.burst, p.rate), (p.ceiling_burst, p.ceiling_rate)) if rate])
         self.started = inf  # when the first event came
-        self.most_worth = max(c.worth for c in settings.classes) * max(p.price for p in settings.plans) or 1.0
+        self.follow(settings)
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             RequestArrived: self.arrived, RequestWaited: self.waited, AttemptEnded: self.ended,
             CountAnswered: self.count_answered, FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn,
-            TimerFired: self.overdue}
+            TimerFired: self.overdue, SettingsChanged: self.configured}
+
+    def follow(self, settings: Settings) -> None:
+        """Keep what follows from the settings."""
+        self.settings, self.counting = settings, settings.counter and not settings.meter_ms
+        self.forget_ms = max([FORGET_MS] + [1000 * full / rate for p in settings.plans for full, rate in
+                                            ((p.burst, p.rate), (p.ceiling_burst, p.ceiling_rate)) if rate])
+        self.most_worth = max(c.worth for c in settings.classes) * max(p.price for p in settings.plans) or 1.0
+
+    def configured(self, now: float, event: SettingsChanged) -> None:
+        """Take over new settings as a whole; what was learnt stays, and what is open keeps its rules."""
+        before, after = self.settings.classes, event.settings.classes
+        moved = [n or 0 for n in renumbered(after, before)]  # None: too long gone, only what is learnt of it
+        self.follow(event.settings)
+        for pool in self.pools.values():
+            pool.renumber(before, after)
+        for call in self.calls.values():
+            call.event.cls = moved[call.event.cls]
+        for backend in self.backends.values():
+            backend.slowness = [Slowness() if n is None else copy(backend.slowness[n])
+                                for n in renumbered(before, after)]
+            backend.out = {key: (at, work, pile, moved[cls], due)
+                           for key, (at, work, pile, cls, due) in backend.out.items()}
+        plans = {plan.name: plan for plan in event.settings.plans}
+        for customer in self.customers.values():
+            customer.refill(now)  # at the old rate until now
+            customer.plan = plans.get(customer.plan.name, customer.plan)
+            customer.refill(now)
+            customer.store = min(customer.store, customer.plan.burst)
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -472,9 +506,12 @@
         if pool.patience_for != pool.unit_ms:
             classes, pool.patience_for = self.settings.classes, pool.unit_ms.copy()
             worths = [c.worth / ms for c, ms in zip(classes, pool.unit_ms, strict=True)]
+            live = self.settings.live_classes or len(classes)
+            most, in_force = max(worths[:live]), list(zip(classes, worths, strict=True))[:live]
             pool.patience = [
-                min(c.aim_ms for c, w in zip(classes, worths, strict=True) if w >= worth)
-                * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * worth / max(worths)) for worth in worths]
+                min([cls.aim_ms] + [c.aim_ms for c, w in in_force if w >= worth])
+                * (CHEAP_PATIENCE + (PATIENCE - CHEAP_PATIENCE) * min(1.0, worth / most))
+                for cls, worth in zip(classes, worths, strict=True)]
         return pool.patience[call.event.cls]
 
     def pile(self, now: float, backend: Backend) -> float:
@@ -565,10 +602,10 @@
 
     def watch(self, now: float, call: Call, due: float) -> None:
         """Have a look at the attempt sent last once it is overdue, where another could follow then."""
-        most, number = self.settings.max_attempts, len(call.tried)
+        number = len(call.tried)
         repeatable = call.cls.effect is not Effect.UNSAFE and self.settings.second_copies
         if repeatable and number < call.most and now + due < call.give_up:
-            self.actions.append(SetTimer(due, call.event.request * most + number - 1, call.event.request))
+            self.actions.append(SetTimer(due, call.event.request * LABELS + number - 1, call.event.request))
 
     def overdue(self, now: float, event: TimerFired) -> None:
         """Guards against an answer that never comes or stops half way, with its connection left open.
@@ -577,7 +614,7 @@
         or has vanished too. Where the whole fleet is slow, copies would only add to the load: the time grows
         with its slowness, they need patience like any first try, and further attempts are rationed.
         """
-        request, number = divmod(event.label, self.settings.max_attempts)
+        request, number = divmod(event.label, LABELS)
         call = self.calls.get(request)
         if call is None or number not in call.out or number != len(call.tried) - 1:
             return
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, replace
 from enum import Enum, IntEnum
 
 BackendId = int
@@ -146,6 +146,7 @@
     meter_ms: float = 0.0
     settled_after: bool = False
     report_fields: tuple[str, ...] = ()
+    live_classes: int = 0  # the first so many are in force, those behind only for what is open; 0: all are
 
     def __post_init__(self) -> None:
         _check(self, {"gateways": 1, "index": 0, "max_attempts": 1, "start_capacity": 1e-6, "cold_ms": 0,
@@ -159,6 +160,29 @@
                 raise ValueError(f"Settings.{name}: at least one is needed")
 
 
+RETIRED_MOST = 16  # classes that are gone and still known: far more than reloads within a deadline drop
+
+
+def merged_settings(before: Settings, after: Settings) -> Settings:
+    """The new settings, with the classes that are gone kept behind its own, the latest first.
+
+    A class is the same one if name, effect and group are; with other figures its new ones hold.
+    """
+    def identity(cls: RequestClass) -> tuple[str, Effect, Group]:
+        return cls.name, cls.effect, cls.group
+
+    kept = {identity(cls) for cls in after.classes}
+    gone = [cls for cls in before.classes if identity(cls) not in kept][:RETIRED_MOST]
+    return replace(after, classes=after.classes + tuple(gone), live_classes=len(after.classes))
+
+
+def renumbered(before: tuple[RequestClass, ...], after: tuple[RequestClass, ...]) -> list[int | None]:
+    """For each class its number in before: the same one, else one of its name, else None."""
+    same = {(cls.name, cls.effect, cls.group): n for n, cls in reversed(list(enumerate(before)))}
+    named = {cls.name: n for n, cls in reversed(list(enumerate(before)))}
+    return [same.get((cls.name, cls.effect, cls.group), named.get(cls.name)) for cls in after]
+
+
 # ---- events
 
 
@@ -185,6 +209,13 @@
     pool: int = 0
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """New settings, made by merged_settings; what is open keeps the rules that it came under."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A client's try; the gateway owes it one final answer within time_left_ms.
@@ -296,8 +327,8 @@
     total: float
 
 
-Event = (FleetUpdate | RequestArrived | RequestWaited | AnswerBegan | AttemptEnded | RequestWithdrawn
-         | TimerFired | ProbeEnded | PeerMessage | CountAnswered)
+Event = (FleetUpdate | SettingsChanged | RequestArrived | RequestWaited | AnswerBegan | AttemptEnded
+         | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage | CountAnswered)
 
 
 # ---- actions
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -8,16 +8,19 @@
 import time
 from collections.abc import Callable
 
+from tamarindfold.interface import Settings
 from troutdock.address import Address
 from troutdock.http.request import Reader
 from troutdock.http.server import Server
 from troutdock.management.door import Door
 from troutdock.ingress import SWEEP_S, Ingress, half_of_sockets
 from troutdock.platform.background import Background
-from troutdock.platform.config import Config
+from troutdock.platform.config import Config, complete
 
 log = logging.getLogger("troutdock")
 
+RETIRED_S = 3.0  # a class that is gone is still taken for so long, as clients hear of it later
+
 
 class Service:
     """One daemon."""
@@ -37,6 +40,7 @@
             b"/control/out-of-service": (b"POST", lambda: away.take_out(time.monotonic())),
             b"/control/in-service": (b"POST", lambda: away.put_back(time.monotonic()))})
         self.management: Address | None = None
+        self._retiring: asyncio.TimerHandle | None = None
 
     async def run(self, stop: asyncio.Event, serving: Callable[[Service], object]) -> None:
         """Serve until stop is set, then drain; serving is told once the door is open."""
@@ -57,8 +61,18 @@
         log.info("drained")
 
     def reload(self, config: Config) -> None:
-        """Go over to the addresses of a new configuration; all else in it needs a restart."""
-        self.ingress.reload(config)
+        """Go over to a new configuration as a whole; ConfigError if it is not whole, and nothing changes."""
+        settings = self.ingress.reload(complete(config, self._config))
+        self._config = config
+        self._server.reader = Reader(settings, retired=True)
+        if self._retiring is not None:
+            self._retiring.cancel()
+        self._retiring = asyncio.get_running_loop().call_later(RETIRED_S, self._retire, settings)
+        log.info("configured anew: %d classes, %d plans, %d attempts", settings.live_classes,
+                 len(settings.plans), settings.max_attempts)
+
+    def _retire(self, settings: Settings) -> None:
+        self._server.reader = Reader(settings)
 
     async def _sweep(self) -> None:
         while True:
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -32,7 +32,7 @@
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
     Action, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
-    Outcome, Refuse, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, TimerFired,
+    Outcome, Refuse, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, TimerFired,
 )
 from troutdock.engine.attempt import Attempt
 from troutdock.engine.ports import Answer, Clock, Counter, Exchange, Timer, Timers, Transport
@@ -115,6 +115,11 @@
 
     # ---- events
 
+    def reconfigure(self, settings: Settings) -> None:
+        """Other settings from now on, made by merged_settings; open calls keep the rules they came under."""
+        self._most_units = settings.most_units
+        self._handle(SettingsChanged(settings))
+
     def fleet(self, update: FleetUpdate, endpoints: Mapping[BackendId, Any]) -> None:
         """The list of backends has changed."""
         transport = self._transports[update.pool]
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -38,10 +38,13 @@
 
 
 class Reader:
-    """Checks requests against the settings."""
+    """Checks requests against the settings; retired: classes that are gone still take what fits them."""
 
-    def __init__(self, settings: Settings) -> None:
-        self._classes = {b"/" + c.name.encode(): (n, c.effect) for n, c in enumerate(settings.classes)}
+    def __init__(self, settings: Settings, retired: bool = False) -> None:
+        self._classes: dict[bytes, list[tuple[int, Effect]]] = {}
+        known = len(settings.classes) if retired else settings.live_classes or len(settings.classes)
+        for number, cls in enumerate(settings.classes[:known]):
+            self._classes.setdefault(b"/" + cls.name.encode(), []).append((number, cls.effect))
         self._plans = {plan.name.encode(): number for number, plan in enumerate(settings.plans)}
         self._gateways, self._most_units = settings.gateways, settings.most_units
 
@@ -55,9 +58,10 @@
                     raise BadRequest(400, f"{name.decode()} comes twice")
         path = url.partition(b"?")[0]
         cut = path.find(b"/", 1)
-        cls, effect = self._classes.get(path if cut < 0 else path[:cut], (-1, None))
-        if effect is None:
+        found = self._classes.get(path if cut < 0 else path[:cut])
+        if found is None:
             raise BadRequest(404, "no such class of requests")
+        cls, effect = found[0] if len(found) == 1 else _fitting(found, method, b"idempotency-key" in seen)
         if method != (b"GET" if effect is Effect.SAFE else b"POST"):
             raise BadRequest(400, "the method does not fit the class")
         if (b"idempotency-key" in seen) != (effect is Effect.KEYED):
@@ -89,18 +93,28 @@
     def waited(self, url: bytes, headers: Headers, waited_ms: float) -> RequestWaited | None:
         """What decides whether a request is turned away unread; None: it has to be read to be answered."""
         seen = dict(headers)
-        cls = self._classes.get(url[:max(0, url.find(b"/", 1))] or url.partition(b"?")[0])
+        found = self._classes.get(url[:max(0, url.find(b"/", 1))] or url.partition(b"?")[0])
         plan = self._plans.get(seen.get(b"plan", b""))
         account = ACCOUNT.fullmatch(seen.get(b"account", b""))
         quota = QUOTA.fullmatch(seen.get(b"quota-info", b""))
-        if cls is None or plan is None or account is None or quota is None or len(seen) < len(headers):
+        if found is None or plan is None or account is None or quota is None:
+            return None
+        if len(found) > 1 or len(seen) < len(headers):
             return None
         customer, units, width = int(account[0], 16), float(quota[1]), int(quota[2])
         if customer >= 1 << 33 or not (0 < units <= self._most_units and 1 <= width <= self._gateways):
             return None
         retry = seen.get(b"client-retry") == b"1"
         key = key_number(seen[b"idempotency-key"]) if b"idempotency-key" in seen else 0
-        return RequestWaited(customer, plan, cls[0], units, width, retry, waited_ms, key)
+        return RequestWaited(customer, plan, found[0][0], units, width, retry, waited_ms, key)
+
+
+def _fitting(found: list[tuple[int, Effect]], method: bytes, keyed: bool) -> tuple[int, Effect]:
+    """Of the classes of one name the first whose form the request has; else the one in force."""
+    for number, effect in found:
+        if method == (b"GET" if effect is Effect.SAFE else b"POST") and keyed == (effect is Effect.KEYED):
+            return number, effect
+    return found[0]
 
 
 def key_number(key: bytes) -> int:
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -301,6 +301,11 @@
         self.open = 0  # connections, those coming up among them
         self._pools: dict[BackendId, Pool] = {}
 
+    def tune(self, connect_timeout_s: float, idle_s: float) -> None:
+        """Other times from now on: for a connection to come up, and until backends close an idle one."""
+        self.connect_timeout_s, self._idle_s = connect_timeout_s, idle_s * IDLE_PART
+        self.use_s = min(self.use_s, self._idle_s)
+
     def place(self, backend: BackendId, endpoint: Address, up_since_ms: float = 0.0) -> None:
         """A backend is at this address, perhaps a new one, or one that has started anew."""
         known = self._pools.get(backend)
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 
+from tamarindfold.interface import Settings, merged_settings
 from troutdock.engine import Engine
 from troutdock.http.transport import HttpTransport
 from troutdock.overload.lag import EVERY_S, Lag
@@ -33,6 +35,7 @@
     """It belongs to the event loop that is running when it is made."""
 
     def __init__(self, config: Config) -> None:
+        self._config, self.settings = config, config.settings
         settings = config.settings
         self.engine = Engine(settings, config.seed, SystemClock(), asyncio.get_running_loop())
         self.lag = Lag(self.engine.clock.now)
@@ -66,17 +69,29 @@
         self._sweep = Background("the sweep", self._sweep_connections)
         self._sample()
 
-    def reload(self, config: Config) -> None:
-        """Go over to the addresses of a new configuration; all else in it needs a restart."""
-        if self._discovery is not None and config.discovery is not None:
+    def reload(self, config: Config) -> Settings:
+        """Go over to the settings and addresses of a new configuration; the settings as they hold now."""
+        before, self._config = self._config, config
+        settings = config.settings
+        if settings.counter != self.settings.counter:
+            log.warning("configured anew: whether there is a counter changes with a restart only")
+            settings = replace(settings, counter=self.settings.counter)
+        if config.sockets != before.sockets or config.listen != before.listen:
+            log.warning("configured anew: limits and the clients' address change with a restart only")
+        self.settings = merged_settings(self.settings, settings)
+        self.engine.reconfigure(self.settings)
+        self.transport.tune(config.connect_timeout_s, config.idle_s)
+        if self._discovery is not None and config.discovery is not None and (
+                (config.discovery, config.lists) != (before.discovery, before.lists)):
             log.info("configured anew: discovery at %s:%d", *config.discovery)
-            self._discovery.move(config.discovery)
-        if self._watch is not None:
-            self._watch.restart()
-        if self.counter is not None:
+            self._discovery.move(config.discovery, config.lists)
+            if self._watch is not None:
+                self._watch.restart()
+        if self.counter is not None and config.counter != before.counter:
             self.counter.move(config.counter)
             if self._count is not None:
                 self._count.restart()
+        return self.settings
 
     async def close(self) -> None:
         """End what runs beside the calls, and drop idle connections."""
--- a/troutdock/platform/config.py
+++ b/troutdock/platform/config.py
@@ -41,6 +41,28 @@
     damping: Damping
     idle_s: float  # a backend closes a connection that has stood idle this long
     management: Address | None = None  # where operators call
+    keys: frozenset[str] = field(default=frozenset(), compare=False)  # that the file has, see keys_of
+
+
+_PLATFORMS = ("name", "listen", "discovery", "counter", "limits", "settings")  # what it writes in every file
+
+
+def keys_of(value: object, path: str = "") -> Iterator[str]:
+    """The paths of all keys; of a list of objects those that each of them has."""
+    if isinstance(value, dict):
+        for key, item in value.items():
+            inner = f"{path}.{key}" if path else str(key)
+            yield inner
+            yield from keys_of(item, inner)
+    elif isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        yield from set.intersection(*(set(keys_of(item, path + "[]")) for item in value))
+
+
+def complete(config: Config, running: Config) -> Config:
+    """The new configuration; ConfigError if it lacks a key of the running one: it was half written."""
+    if lacking := sorted(running.keys - config.keys):
+        raise ConfigError(f"{lacking[0]} is missing, which the running configuration has")
+    return config
 
 
 def flatten(value: object, path: str = "") -> Iterator[str]:
@@ -99,6 +121,7 @@
             idle_s=float(permissions.get("conn_idle", 15_000)) / 1000,
             damping=read_damping(raw.get("damping", {})),
             management=parse_address(raw["management"]) if raw.get("management") else None,
+            keys=frozenset(keys_of({name: raw[name] for name in _PLATFORMS if name in raw})),
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is missing") from error
--- a/troutdock/platform/discovery.py
+++ b/troutdock/platform/discovery.py
@@ -78,9 +78,9 @@
         self._version: int | None = version  # None: ask for the whole list
         self._down = False
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address, reader: ListReader) -> None:
         """Another agent is to be asked, for the whole list; run is to be started anew."""
-        self._address, self._version = address, None
+        self._address, self._read, self._version = address, reader, None
 
     async def run(self) -> None:
         """Watch for ever; while the agent is silent or talks nonsense the last list holds."""
