--- /dev/null
+++ b/tests/http/test_bodies.py
@@ -0,0 +1,225 @@
+"""Long and slow messages of clients: held within a budget, at a pace, in every form of HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loopback import Peer, answer, read_message, request, run, until, world
+
+from troutdock.http import bodies
+from troutdock.http.bodies import GRACE_S, HEAD_S, PACE, SILENT_S, Budget, Pace, budget_for
+from troutdock.http.server import path_of
+from troutdock.platform.config import read_config
+
+LONG = "0123456789abcdef" * 20_000  # 320,000 bytes
+
+
+# ---- the budget and the pace
+
+
+@given(st.lists(st.integers(-400, 400), max_size=50))
+def test_a_budget_never_holds_more_than_its_bound(steps: list[int]) -> None:
+    budget, held = Budget(1000), []
+    for step in steps:
+        if step > 0 and budget.take(step):
+            held.append(step)
+        elif step <= 0 and held:
+            budget.give(held.pop())
+        assert budget.held == sum(held) <= 1000
+
+
+def test_the_budget_follows_the_memory_and_leaves_room_for_the_program() -> None:
+    assert budget_for(24) == budget_for(32) == 2 * 1024 * 1024
+    assert budget_for(192) == 80 * 1024 * 1024
+    assert read_config(json.dumps(small_config())).bodies == budget_for(80)
+
+
+def small_config() -> dict[str, Any]:
+    from loopback import SETTINGS
+    return {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "limits": {"memory_mb": 80}, "settings": SETTINGS}
+
+
+def test_a_silent_connection_a_head_and_a_body_each_have_their_own_time() -> None:
+    pace = Pace(100.0)
+    assert not pace.late(100.0 + SILENT_S, 0) and pace.late(100.01 + SILENT_S, 0)
+    pace.starts()
+    assert not pace.late(100.0 + HEAD_S, 0) and pace.late(100.01 + HEAD_S, 0)
+    pace.head_done(102.0)
+    assert not pace.late(102.0 + GRACE_S, 0) and pace.late(102.01 + GRACE_S, 0)
+    assert not pace.late(102.0 + GRACE_S + 10, 10 * PACE)
+    pace.first_byte(200.0)
+    assert not pace.late(200.0 + HEAD_S, 0) and pace.late(200.01 + HEAD_S, 0)
+
+
+@pytest.mark.parametrize(("url", "path"), [
+    (b"/a/b?c=http://x", b"/a/b?c=http://x"), (b"http://h:80/a/b?c", b"/a/b?c"), (b"HTTPS://h/a", b"/a"),
+    (b"http://h", b"/"), (b"http://h?c", b"/?c"), (b"*", b"*"), (b"h:80", b"h:80")])
+def test_a_target_in_absolute_form_is_the_path_behind_the_host(url: bytes, path: bytes) -> None:
+    assert path_of(url) == path
+
+
+# ---- over loopback
+
+
+def test_a_long_body_goes_on_unchanged_and_again_to_another_backend() -> None:
+    async def test() -> None:
+        async def breaks(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+
+        async with world(breaks, breaks, answer()) as w:
+            status, _, _ = await w.ask(request(body=LONG))
+            assert status == 200
+            whole = [r for b in w.backends for r in b.requests]
+            assert len(whole) >= 1 and all(r.endswith(b"\r\n\r\n" + LONG.encode()) for r in whole)
+            await until(lambda: w.service._server.bodies.held == 0)
+    run(test())
+
+
+def test_a_chunked_body_of_any_length_is_passed_on_with_its_length() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            data = LONG.encode()
+            chunks = b"".join(b"%x;ext=1\r\n%b\r\n" % (len(part), part)
+                              for part in (data[i:i + 50_000] for i in range(0, len(data), 50_000)))
+            head = request(body="", Content_Length=None, Transfer_Encoding="chunked ")
+            status, _, _ = await w.ask(head + chunks + b"0\r\nTrailer: x\r\n\r\n")
+            assert status == 200 and w.backends[0].requests[0].endswith(b"\r\n\r\n" + data)
+            assert w.service._server.bodies.held == 0
+    run(test())
+
+
+def test_a_body_that_finds_no_room_is_refused_at_once_and_one_that_has_room_later_is_taken() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            w.service._server.bodies.bound = 400_000
+            first = await w.client()
+            first.writer.write(request(body=LONG)[:2000])
+            await until(lambda: w.service._server.bodies.held == len(LONG))
+            status, head, _ = await w.ask(request(number=2, body=LONG))
+            assert status == 503 and b"retry-after: 0.5" in head.lower()
+            assert (await w.ask(request(number=3)))[0] == 200  # a small one needs no room
+            first.writer.write(request(body=LONG)[2000:])
+            assert (await first.answer())[0] == 200
+            assert (await w.ask(request(number=4, body=LONG)))[0] == 200
+            assert len(w.backends[0].requests) == 3 and w.service._server.bodies.held == 0
+    run(test())
+
+
+def test_what_a_client_that_leaves_had_sent_is_held_no_longer() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def slow(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+
+        async with world(slow) as w:
+            held = w.service._server.bodies
+            half, whole = await w.client(), await w.client()
+            half.writer.write(request(body=LONG)[:100_000])
+            whole.writer.write(request(number=2, body=LONG))
+            await until(lambda: len(w.backends[0].requests) == 1 and held.held == 2 * len(LONG))
+            half.writer.close()
+            whole.writer.close()
+            await until(lambda: held.held == 0)
+            release.set()
+    run(test())
+
+
+def test_a_client_that_waits_to_be_told_is_told_to_go_on_and_only_once_its_turn_has_come() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def later(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            if b"receipt" in data:
+                await release.wait()
+            await answer()(peer, data, writer)
+
+        async with world(later) as w:
+            client = await w.client()
+            whole = request(number=2, body="x" * 10, Expect="100-continue ")
+            client.writer.write(request() + whole[:-10])
+            await until(lambda: len(w.backends[0].requests) == 1)
+            await asyncio.sleep(0.02)
+            release.set()
+            assert (await client.answer())[0] == 200  # no interim answer has come before it
+            assert (await read_message(client.reader)).startswith(b"HTTP/1.1 100 ")
+            client.writer.write(whole[-10:])
+            assert (await client.answer())[0] == 200
+            assert b"xpect" not in w.backends[0].requests[1]
+            status, _, _ = await client.ask(request(number=3, body="y", Expect="100-continue"))
+            assert status in (100, 200)  # it did not wait: told or not, the answer follows
+    run(test())
+
+
+def test_a_body_that_comes_slowly_at_its_pace_is_taken_and_one_that_stops_is_not(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    for limit, value in (("HEAD_S", 0.2), ("SILENT_S", 0.2), ("GRACE_S", 0.1), ("PACE", 20_000)):
+        monkeypatch.setattr(bodies, limit, value)
+    monkeypatch.setattr("troutdock.daemon.SWEEP_S", 0.02)
+
+    async def test() -> None:
+        async with world(answer()) as w:
+            slow, stops = await w.client(), await w.client()
+            whole = request(body="x" * 40_000)
+            stops.writer.write(request(number=2, body="x" * 40_000)[:20_000])
+            for at in range(0, len(whole), 4000):  # in some 0.5 s, far over the head's time
+                slow.writer.write(whole[at:at + 4000])
+                await asyncio.sleep(0.05)
+            assert (await slow.answer())[0] == 200
+            assert (await stops.answer())[0] == 408
+            assert len(w.backends[0].requests) == 1
+    run(test())
+
+
+@pytest.mark.parametrize(("head", "served"), [
+    (b"Content-Length: 4 \r\n\r\ndone", True),
+    (b"Transfer-Encoding: chunked \r\n\r\n2\r\ndo\r\n2;x=y\r\nne\r\n0\r\nT: x\r\n\r\n", True),
+    (b"Connection: close\r\n\r\ndone", True),
+    (b"Connection: Close \r\n\r\ndone", True),
+    (b"\r\ndone", False),  # nobody said that the end would come
+])
+def test_every_form_of_an_answers_body(head: bytes, served: bool) -> None:
+    async def test() -> None:
+        async def script(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+            if b"onnection" in head or not served:
+                writer.close()
+
+        async with world(script) as w:
+            status, _, body = await w.ask(request())
+            assert (status, body) == ((200, b"done") if served else (502, b""))
+    run(test())
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_served() -> None:
+    async def test() -> None:
+        async def script(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+
+        async with world(script) as w:
+            sock_closes_hard(w.backends[0])
+            assert (await w.ask(request()))[0] == 502
+    run(test())
+
+
+def sock_closes_hard(peer: Peer) -> None:
+    """Its connections end with a reset, as those of a process that is killed with bytes unread."""
+    import socket
+    import struct
+
+    serve = peer.script
+
+    async def script(p: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await serve(p, data, writer)
+
+    peer.script = script
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -10,6 +10,7 @@
 
 from tamarindfold.interface import Settings
 from troutdock.address import Address
+from troutdock.http.bodies import Budget
 from troutdock.http.request import Reader
 from troutdock.http.server import Server
 from troutdock.management.door import Door
@@ -30,7 +31,7 @@
         self._config, self._listener = config, listener
         self.ingress = Ingress(config)
         self._server = Server(self.ingress.engine, Reader(config.settings), half_of_sockets(config),
-                              self.ingress.lag, config.damping)
+                              self.ingress.lag, config.damping, Budget(config.bodies))
         if config.listen is None:
             raise ValueError("a daemon needs an address to listen on")
         self.address = self._listen = config.listen
--- /dev/null
+++ b/troutdock/http/bodies.py
@@ -0,0 +1,70 @@
+"""How much of clients' messages this process holds, and how long one may take to come (no I/O).
+
+A body is held whole until its request has its final answer, as a further attempt sends it again. So there is
+a budget of bytes for all of them: who finds no room is told to come back, before more is read.
+"""
+
+from __future__ import annotations
+
+SMALL = 64 * 1024  # bytes: bodies up to here are covered by the memory of the connection itself
+MIB = 1024 * 1024
+BASE_MB = 32  # of memory for the program, its connections and answers under way; measured: 14 to 28 MB
+PART = 0.5  # of the rest is for bodies: what is written to a backend may stand in its buffer as well
+LEAST = 2 * MIB
+
+HEAD_S = 2.6  # for a head, from the connection's start or its first byte on: clients have been seen to take 2
+SILENT_S = 2.0  # for the first byte of a new connection
+GRACE_S = 1.5  # until a body's pace counts
+PACE = 32 * 1024  # bytes a second: half of what the slowest clients do
+
+
+def budget_for(memory_mb: float) -> int:
+    """Bytes that may be held of long bodies, all together, in a process of so much memory."""
+    return max(LEAST, int((memory_mb - BASE_MB) * PART * MIB))
+
+
+class Budget:
+    """Bytes that are held, within a bound."""
+
+    __slots__ = ("bound", "held")
+
+    def __init__(self, bound: int = 64 * MIB) -> None:
+        self.bound, self.held = bound, 0
+
+    def take(self, count: int) -> bool:
+        """Hold so many more; false, and nothing is held, where there is no room."""
+        if self.held + count > self.bound:
+            return False
+        self.held += count
+        return True
+
+    def give(self, count: int) -> None:
+        """So many are held no longer."""
+        self.held -= count
+
+
+class Pace:
+    """How long the message that is coming has taken, on a clock in seconds."""
+
+    __slots__ = ("_body_since", "_since", "_started")
+
+    def __init__(self, now: float) -> None:
+        self._since, self._started, self._body_since = now, False, 0.0
+
+    def first_byte(self, now: float) -> None:
+        """A message begins on a connection that has stood between two."""
+        self._since, self._started, self._body_since = now, True, 0.0
+
+    def starts(self) -> None:
+        """The first message of a connection begins: its time runs from the connection's start."""
+        self._started = True
+
+    def head_done(self, now: float) -> None:
+        """The head is whole; from now on the body is measured."""
+        self._body_since = now
+
+    def late(self, now: float, received: int) -> bool:
+        """It has had its time; received: bytes of the body so far."""
+        if self._body_since:
+            return now - self._body_since > GRACE_S + received / PACE
+        return now - self._since > (HEAD_S if self._started else SILENT_S)
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -7,6 +7,7 @@
 
 from tamarindfold.interface import Effect, RequestArrived, RequestWaited, Settings
 from troutdock.engine import BadRequest, Request
+from troutdock.http.bodies import SMALL
 
 ACCOUNT = re.compile(rb"[0-9a-fA-F]{16}")
 SECONDS = re.compile(rb"\d{1,6}(\.\d{1,9})?")
@@ -20,6 +21,7 @@
                             b"transfer-encoding", b"expect", b"content-length", b"request-timeout"))
 
 Headers = Sequence[tuple[bytes, bytes]]  # names in lower case
+Message = bytes | list[bytes]  # in one piece, or a long one in several, which are not copied
 
 
 class HttpRequest(Request):
@@ -27,14 +29,17 @@
 
     __slots__ = ("_head", "body")
 
-    def __init__(self, id: bytes, head: bytes, body: bytes, arrival: RequestArrived,
+    def __init__(self, id: bytes, head: bytes, body: bytes | list[bytes], arrival: RequestArrived,
                  repeatable: bool) -> None:
         super().__init__(id, arrival, repeatable)
         self._head, self.body = head, body
 
-    def message(self, left_ms: float) -> bytes:
+    def message(self, left_ms: float) -> Message:
         """The request as it goes to a backend, telling how long its answer is waited for."""
-        return b"%bRequest-Timeout: %.3f\r\n\r\n%b" % (self._head, max(left_ms, 1.0) / 1000, self.body)
+        seconds = max(left_ms, 1.0) / 1000
+        if isinstance(self.body, list):
+            return [b"%bRequest-Timeout: %.3f\r\n\r\n" % (self._head, seconds), *self.body]
+        return b"%bRequest-Timeout: %.3f\r\n\r\n%b" % (self._head, seconds, self.body)
 
 
 class Reader:
@@ -48,8 +53,11 @@
         self._plans = {plan.name.encode(): number for number, plan in enumerate(settings.plans)}
         self._gateways, self._most_units = settings.gateways, settings.most_units
 
-    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes) -> HttpRequest:
-        """The request; BadRequest if any part of it is missing or senseless."""
+    def read(self, method: bytes, url: bytes, headers: Headers, body: bytes | list[bytes]) -> HttpRequest:
+        """The request; BadRequest if any part is missing or senseless. A long body may stay in pieces."""
+        length = len(body) if isinstance(body, bytes) else sum(map(len, body))
+        if isinstance(body, list) and length <= SMALL:
+            body = b"".join(body)
         seen = dict(headers)
         if len(seen) < len(headers):
             names = [name for name, _ in headers]
@@ -86,7 +94,7 @@
                                  seen.get(b"client-retry") == b"1")
         if effect is Effect.KEYED:
             arrival.key = key_number(seen[b"idempotency-key"])
-        head = forwarded_head(method, url, headers, len(body))
+        head = forwarded_head(method, url, headers, length)
         return HttpRequest(seen[b"request-id"], head, body, arrival, effect is not Effect.UNSAFE)
 
 
--- a/troutdock/http/response.py
+++ b/troutdock/http/response.py
@@ -41,13 +41,15 @@
 class ResponseReader:
     """Feed it what a connection brings; it gives each response once that is whole."""
 
-    __slots__ = ("_body", "_done", "_headers", "_headers_done", "_max_body", "_parser", "_pending", "_size")
+    __slots__ = ("_body", "_done", "_headers", "_headers_done", "_max_body", "_parser", "_pending", "_size",
+                 "_until_end")
 
     def __init__(self, max_body: int) -> None:
         self._parser: Any = httptools.HttpResponseParser(self)
         self._max_body = max_body
         self._done: Response | None = None
         self._pending = 0  # bytes of heads since the last response
+        self._headers_done = self._until_end = False
         self.on_message_begin()
 
     @property
@@ -76,6 +78,13 @@
             raise BadResponse(f"a head of over {MAX_HEAD} bytes")
         return done
 
+    def ended(self) -> Response | None:
+        """The connection has ended in order: the response whose end that is, if one has been coming."""
+        if not (self._headers_done and self._until_end):
+            return None
+        self._headers_done = False
+        return Response(self._parser.get_status_code(), self._headers, b"".join(self._body), False)
+
     def close(self) -> None:
         """Nothing more is fed: the parser, which holds this reader, is let go."""
         self._parser = None
@@ -87,7 +96,7 @@
             raise _Surplus
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
-        self._size, self._headers_done = 0, False
+        self._size, self._headers_done, self._until_end = 0, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
@@ -104,11 +113,15 @@
             if coding.strip().lower() != b"chunked" or length is not None:
                 raise BadResponse(f"framed by {coding!r} and length {length!r}")
         elif length is not None:
+            length = length.strip()
             if not length.isdigit() or len(length) > 12 or int(length) > self._max_body:
                 raise BadResponse(f"a body of {length[:40]!r} bytes")
         elif status not in (204, 304):
-            # whether such a body is whole could not be told from its connection's end
-            raise BadResponse("a body of no stated length")
+            # RFC 9112, 6.3: the connection's end is the body's. Only where the server has said that it will
+            # end: else nobody could tell a whole one from one that was cut off.
+            if b"close" not in self._headers.get(b"connection", b"").lower():
+                raise BadResponse("a body of no stated length")
+            self._until_end = True
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -13,6 +13,7 @@
 from troutdock.address import Address
 from troutdock.engine import Attempt
 from troutdock.http.age import received_ago_ms
+from troutdock.http.request import Message
 from troutdock.http.response import MAX_BODY, BadResponse, Response, ResponseReader
 from troutdock.overload.lag import Lag
 
@@ -32,7 +33,7 @@
 
     __slots__ = ("connection", "opening", "pool")
 
-    def __init__(self, owner: Any, index: int, backend: BackendId, message: bytes, started: float,
+    def __init__(self, owner: Any, index: int, backend: BackendId, message: Message, started: float,
                  repeatable: bool = True) -> None:
         # in place of the base's own, as each request makes one
         self.owner, self.index, self.backend, self.started = owner, index, backend, started
@@ -80,10 +81,17 @@
         self.attempt, attempt.connection = attempt, self
         self._started = asyncio.get_running_loop().time()
         self._written = False
-        self._transport.write(attempt.message)
+        if isinstance(attempt.message, bytes):
+            self._transport.write(attempt.message)
+        else:
+            for piece in attempt.message:
+                self._transport.write(piece)
         self._written = self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing()
 
     def resume_writing(self) -> None:
+        if not self._written and self.attempt is not None and not isinstance(self.attempt.message, bytes):
+            # a backend begins with the last byte: how long a long body took to send is not its slowness
+            self.attempt.lag_ms = (asyncio.get_running_loop().time() - self._started) * 1000
         self._written = True
 
     def usable(self) -> bool:
@@ -114,7 +122,7 @@
         if response is not None:
             if self.pool.lag.notable and self.attempt is not None:
                 # guards against taking this process's own lateness for the backend's slowness
-                self.attempt.lag_ms = received_ago_ms(self.sock)
+                self.attempt.lag_ms += received_ago_ms(self.sock)
             # an answer before the request's last byte leaves a connection nobody can use again
             self._conclude(outcome_of(response), response, response.keep_alive and self._written)
         else:
@@ -127,6 +135,8 @@
         self._broken()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and not self._closed and (response := self._reader.ended()) is not None:
+            self._conclude(outcome_of(response), response, False)
         self.close()
         self._broken()
         self._reader.close()
--- a/troutdock/platform/config.py
+++ b/troutdock/platform/config.py
@@ -10,6 +10,7 @@
 from tamarindfold.interface import FleetUpdate, Settings
 from tamarindfold.wire import parse_settings
 from troutdock.address import Address, parse_address
+from troutdock.http.bodies import LEAST, budget_for
 from troutdock.http.response import MAX_BODY
 from troutdock.overload.damping import Damping, read_damping
 from troutdock.platform.discovery import Endpoints, ListReader
@@ -40,6 +41,7 @@
     connect_timeout_s: float
     damping: Damping
     idle_s: float  # a backend closes a connection that has stood idle this long
+    bodies: int = LEAST  # bytes of clients' long bodies that are held, all together
     management: Address | None = None  # where operators call
     keys: frozenset[str] = field(default=frozenset(), compare=False)  # that the file has, see keys_of
 
@@ -119,6 +121,7 @@
             max_answer=max(MAX_BODY, int(memory_mb * 1024 * 1024 / ANSWERS_HELD)),
             connect_timeout_s=float(permissions.get("dial_timeout", 250)) / 1000,
             idle_s=float(permissions.get("conn_idle", 15_000)) / 1000,
+            bodies=budget_for(memory_mb),
             damping=read_damping(raw.get("damping", {})),
             management=parse_address(raw["management"]) if raw.get("management") else None,
             keys=frozenset(keys_of({name: raw[name] for name in _PLATFORMS if name in raw})),
