The way of a long message is not its backend's work: no load, no copies, no slowness

The decision module is now told that the work is done, and time after the first bytes of an answer, or for sending a long body, is not counted as the backend's.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 from tamarindfold.interface import (
-    Actions, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect, Event, Fail,
-    FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
+    Actions, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
+    Event, Fail, FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
     RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, TimerFired, renumbered,
 )
 
@@ -198,7 +198,7 @@
         self.give_up, self.aim = now + event.time_left_ms, now + min(cls.aim_ms, event.time_left_ms)
         self.tried: list[Backend] = []
         self.out: list[int] = []  # the attempts that have not ended
-        self.may_have_run = False
+        self.may_have_run = self.begun = False  # begun: the answer is on its way to the client
         self.ran_group: tuple[Group, int] | None = None
         self.ran_until = inf
 
@@ -262,6 +262,7 @@
         self.actions: Actions = []
         self.handlers: dict[type, Callable[[float, Any], None]] = {
             RequestArrived: self.arrived, RequestWaited: self.waited, AttemptEnded: self.ended,
+            AnswerBegan: self.began,
             CountAnswered: self.count_answered, FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn,
             TimerFired: self.overdue, SettingsChanged: self.configured}
 
@@ -616,7 +617,7 @@
         """
         request, number = divmod(event.label, LABELS)
         call = self.calls.get(request)
-        if call is None or number not in call.out or number != len(call.tried) - 1:
+        if call is None or call.begun or number not in call.out or number != len(call.tried) - 1:
             return
         sent_at, *_, due = call.tried[number].out.get((request, number), (now, now + NEWS_MS))
         self.may_run(call, number, sent_at)
@@ -653,6 +654,17 @@
         if not call.out or event.attempt == len(call.tried) - 1:  # else the copy sent last goes on
             self.again(now, call)
 
+    def began(self, now: float, event: AnswerBegan) -> None:
+        """The answer is the client's: no copy follows, and where the work is done it is no load any more."""
+        if (call := self.calls.get(event.request)) is not None:
+            call.begun = True
+        backend = self.backends.get(event.backend)
+        if event.work_done and backend and (sent := backend.out.pop((event.request, event.attempt), None)):
+            backend.load = max(0.0, backend.load - sent[1]) if backend.out else 0.0
+            done = AttemptEnded(event.request, event.attempt, event.backend, Outcome.OK, event.elapsed_ms,
+                                False, lag_ms=event.lag_ms)
+            self.learn(now, backend, done, sent)
+
     def may_run(self, call: Call, number: int, sent_at: float) -> None:
         """An attempt may have run, or may yet: a keyed request then keeps to the group that knows it."""
         call.may_have_run = True
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -258,19 +258,25 @@
 
 @dataclass(slots=True)
 class AnswerBegan:
-    """A streamed answer has begun; from now on it is the client's."""
+    """A streamed answer has begun; from now on it is the client's.
+
+    work_done: the backend has done its work, and the rest is the answer's way; lag_ms as in AttemptEnded.
+    """
 
     request: int
     attempt: int
     backend: BackendId
     elapsed_ms: float
+    work_done: bool = False
+    lag_ms: float = 0.0
 
 
 @dataclass(slots=True)
 class AttemptEnded:
     """The one outcome of an attempt; over: the request is concluded.
 
-    lag_ms: the part of elapsed_ms for which the gateway itself was late, and nothing of the backend's.
+    lag_ms: the part of elapsed_ms that was not the backend's work: the gateway itself was late, or a long
+    message was on its way.
     """
 
     request: int
--- a/tests/http/test_bodies.py
+++ b/tests/http/test_bodies.py
@@ -56,6 +56,18 @@
     assert not pace.late(200.0 + HEAD_S, 0) and pace.late(200.01 + HEAD_S, 0)
 
 
+def test_space_around_a_value_is_no_part_of_it() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            for name in ("Request_Id", "Plan", "Account", "Request_Timeout", "Quota_Info", "Content_Length"):
+                plain = dict(line.split(": ") for line in request().decode().split("\r\n\r\n")[0].split("\r\n")[1:])
+                padded = " \t" + plain[name.replace("_", "-")] + " \t "
+                assert (await w.ask(request(**{name: padded})))[0] == 200, name
+            assert (await w.ask(request("payment-book", Idempotency_Key="ab" * 16 + " ")))[0] == 200
+            assert b"ab\r\n" in w.backends[0].requests[-1]
+    run(test())
+
+
 @pytest.mark.parametrize(("url", "path"), [
     (b"/a/b?c=http://x", b"/a/b?c=http://x"), (b"http://h:80/a/b?c", b"/a/b?c"), (b"HTTPS://h/a", b"/a"),
     (b"http://h", b"/"), (b"http://h?c", b"/?c"), (b"*", b"*"), (b"h:80", b"h:80")])
--- /dev/null
+++ b/tests/test_begun.py
@@ -0,0 +1,104 @@
+"""An answer that has begun: what the decision module makes of it, and of messages that are long on their way."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from build import START, ended, gateway, request
+from loopback import Peer, run, until, world
+from loopback import request as message
+
+from tamarindfold.interface import AnswerBegan, Outcome, Send, SetTimer, TimerFired
+
+
+def sent(g: Any, number: int = 1) -> tuple[Any, Any]:
+    send, timer = g.handle(START, request(number))
+    assert isinstance(send, Send) and isinstance(timer, SetTimer)
+    return send, timer
+
+
+@pytest.mark.parametrize("work_done", [False, True])
+def test_no_copy_follows_an_answer_that_has_begun(work_done: bool) -> None:
+    g = gateway(second_copies=True)
+    send, timer = sent(g)
+    assert g.handle(START + 50, AnswerBegan(1, 0, send.backend, 50, work_done)) == []
+    assert g.handle(START + timer.after_ms, TimerFired(timer.label)) == []
+    assert g.handle(START + 5000, ended(1, send.backend, took=5000)) == []
+    assert not g.calls
+
+
+def test_work_that_is_done_is_no_load_while_its_answer_is_on_its_way() -> None:
+    g = gateway(second_copies=True)
+    send, _ = sent(g)
+    backend = g.backends[send.backend]
+    assert backend.load > 0
+    g.handle(START + 50, AnswerBegan(1, 0, send.backend, 50))
+    assert backend.load > 0  # a handler that writes its answer while it works
+    g.handle(START + 50, AnswerBegan(1, 0, send.backend, 50, True))
+    assert backend.load == 0 and not backend.out
+    g.handle(START + 5000, ended(1, send.backend, Outcome.OK, took=5000))
+    assert backend.load == 0 and backend.slowness[0].now(START + 5000) < 2  # five seconds were no work
+
+
+def test_what_it_took_is_learnt_less_the_way_of_the_request() -> None:
+    slow, prompt = gateway(seed=3), gateway(seed=3)
+    for g, lag in ((slow, 0.0), (prompt, 900.0)):
+        send, _ = sent(g) if g.settings.second_copies else (g.handle(START, request(1))[0], None)
+        g.handle(START + 1000, AnswerBegan(1, 0, send.backend, 1000, True, lag))
+    assert slow.pools[0].slowness.now(START + 1000) > prompt.pools[0].slowness.now(START + 1000)
+
+
+def test_an_answer_that_breaks_off_after_it_began_is_not_tried_again() -> None:
+    async def test() -> None:
+        async def breaks(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + b"x" * 300_000)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+
+        async with world(breaks, breaks, breaks) as w:
+            client = await w.client()
+            client.writer.write(message("ledger-read"))
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await client.reader.readuntil(b"\r\n\r\n")
+                await client.reader.readexactly(1_000_000)
+            await asyncio.sleep(0.05)
+            assert sum(len(b.requests) for b in w.backends) == 1 and not w.gateway.calls
+    run(test())
+
+
+def test_the_way_of_long_messages_is_not_taken_for_their_backends_work() -> None:
+    """A backend that answers at once and writes slowly stays in favour."""
+    async def test() -> None:
+        async def slowly(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n")
+            for _ in range(20):
+                writer.write(b"x" * 10_000)
+                await asyncio.sleep(0.03)
+
+        async with world(slowly) as w:
+            client = await w.client()
+            assert len((await client.ask(message("ledger-read")))[2]) == 200_000  # 0.6 s
+            backend = next(iter(w.gateway.backends.values()))
+            await until(lambda: not w.gateway.calls)
+            assert backend.slowness[0].now(w.engine.clock.now()) < 1.5
+            assert backend.load == 0
+    run(test())
+
+
+def test_a_small_answer_in_pieces_counts_to_its_first_bytes() -> None:
+    async def test() -> None:
+        async def in_pieces(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+            await asyncio.sleep(0.2)
+            writer.write(b"Content-Length: 4\r\n\r\ndo")
+            await asyncio.sleep(0.2)
+            writer.write(b"ne")
+
+        async with world(in_pieces) as w:
+            assert (await w.ask(message("ledger-read")))[2] == b"done"
+            backend = next(iter(w.gateway.backends.values()))
+            assert backend.slowness[0].now(w.engine.clock.now()) < 1.2
+    run(test())
--- a/troutdock/engine/attempt.py
+++ b/troutdock/engine/attempt.py
@@ -12,17 +12,16 @@
 
     owner: the engine's call. message: what is sent. started: milliseconds of the engine's clock.
     repeatable: another attempt may follow one that may have run. over: ended or given up.
-    lag_ms: for how long the process itself was late with it, so far as the transport can tell.
-    streams: its answer may be passed on as it comes. answered: when that began, nought if it has not.
+    lag_ms: the part of its time that was not the backend's work, so far as the transport can tell: the
+    process was late, a long message was on its way. streams: its answer may be passed on as it comes.
     """
 
-    __slots__ = ("answered", "backend", "index", "lag_ms", "message", "over", "owner", "repeatable",
-                 "started", "streams")
+    __slots__ = ("backend", "index", "lag_ms", "message", "over", "owner", "repeatable", "started", "streams")
 
     def __init__(self, owner: Any, index: int, backend: BackendId, message: Any, started: float,
                  repeatable: bool = True) -> None:
         self.owner, self.index, self.backend, self.started = owner, index, backend, started
         self.message, self.repeatable = message, repeatable
         self.over = False
-        self.lag_ms = self.answered = 0.0
+        self.lag_ms = 0.0
         self.streams = False
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -212,14 +212,13 @@
         if call.begun is not None or call.number not in self._calls:
             return False
         call.begun = attempt
-        now = self.clock.now()
-        elapsed_ms = now - attempt.started
-        self._handle(AnswerBegan(call.number, attempt.index, attempt.backend, elapsed_ms))
+        elapsed_ms = self.clock.now() - attempt.started
+        self._handle(AnswerBegan(call.number, attempt.index, attempt.backend, elapsed_ms, flow is not None,
+                                 attempt.lag_ms))
         for other in call.attempts:
             if other is not attempt:
                 self._cancel(call, other)
         if flow is not None:
-            attempt.answered = now  # how long the client takes to read is not the backend's time
             if call.deadline is not None:
                 call.deadline.cancel()
             cast(StreamingExchange, call.exchange).began(head, flow)
@@ -276,7 +275,7 @@
         self._settle(call, outcome)
 
     def _tell_end(self, call: Call, attempt: Attempt, outcome: Outcome, units: float = 0.0) -> None:
-        elapsed_ms = (attempt.answered or self.clock.now()) - attempt.started
+        elapsed_ms = self.clock.now() - attempt.started
         over = call.number not in self._calls
         self._handle(AttemptEnded(call.number, attempt.index, attempt.backend, outcome, elapsed_ms, over,
                                   true_units=units, lag_ms=attempt.lag_ms))
--- a/troutdock/http/response.py
+++ b/troutdock/http/response.py
@@ -122,7 +122,7 @@
         self._size, self._headers_done, self._until_end = 0, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
+        name, value = name.lower(), value.strip(b" \t")
         before = self._headers.get(name)
         self._headers[name] = value if before is None else before + b", " + value
 
@@ -133,10 +133,9 @@
         self._headers_done = True
         length, coding = self._headers.get(b"content-length"), self._headers.get(b"transfer-encoding")
         if coding is not None:
-            if coding.strip().lower() != b"chunked" or length is not None:
+            if coding.lower() != b"chunked" or length is not None:
                 raise BadResponse(f"framed by {coding!r} and length {length!r}")
         elif length is not None:
-            length = length.strip()
             if not length.isdigit() or len(length) > 12 or int(length) > self._bound:
                 raise BadResponse(f"a body of {length[:40]!r} bytes")
         elif status not in (204, 304):
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -100,7 +100,7 @@
         self.flow = flow
         length = head.headers.get(b"content-length")
         if length is not None:
-            framing = (b"Content-Length", length.strip())
+            framing = (b"Content-Length", length)
             self.chunked = False
         elif self.chunked:
             framing = (b"Transfer-Encoding", b"chunked")
@@ -367,13 +367,13 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value.strip(b" \t")))  # RFC 9112, 5: no part of the value
 
     def on_headers_complete(self) -> None:
         self._in_head = False
         self._pace.head_done(time.monotonic())
-        lengths = [value.strip() for name, value in self._headers if name == b"content-length"]
-        codings = [value.strip() for name, value in self._headers if name == b"transfer-encoding"]
+        lengths = [value for name, value in self._headers if name == b"content-length"]
+        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
         if (lengths and codings) or len(lengths) > 1 or len(codings) > 1:
             raise BadRequest(400, "where the request ends can't be told")  # one may be hidden in its body
         if codings and (codings[0].lower() != b"chunked" or self._parser.get_http_version() != "1.1"):
@@ -384,7 +384,7 @@
             raise BadRequest(413, "the body is too long")
         if lengths and int(lengths[0]) > SMALL:
             self._hold(int(lengths[0]))  # all of it before any has come: no two wait for each other's end
-        expects = [value.strip().lower() for name, value in self._headers if name == b"expect"]
+        expects = [value.lower() for name, value in self._headers if name == b"expect"]
         if b"100-continue" in expects and (lengths or codings) and self._parser.get_http_version() == "1.1":
             self._continue = True
             if not self._exchanges:
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -40,7 +40,7 @@
         self.owner, self.index, self.backend, self.started = owner, index, backend, started
         self.message, self.repeatable = message, repeatable
         self.over = self.streams = False
-        self.lag_ms = self.answered = 0.0
+        self.lag_ms = 0.0
         self.pool: Pool | None = None  # the one that it waits in, or was written in
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None  # only while that can be cancelled
@@ -71,7 +71,7 @@
     """The protocol's table for answers; a status that it does not name may have run."""
     if response.status == 200:
         return Outcome.OK
-    if response.status in (503, 504) and response.headers.get(b"not-started", b"").strip() == b"1":
+    if response.status in (503, 504) and response.headers.get(b"not-started", b"") == b"1":
         return Outcome.FULL
     return Outcome.ERROR
 
@@ -84,6 +84,7 @@
         self.attempt: HttpAttempt | None = None
         self.idle_since = 0.0  # nought before its first answer
         self._started = 0.0  # when the attempt was written
+        self._first = 0.0  # when the first bytes of its answer came, if the last did not come with them
         self._reader = ResponseReader(pool.max_answer)
         self._written = False
         self._closed = False
@@ -100,7 +101,7 @@
         """Write the request; from its last byte on it may run."""
         self.attempt, attempt.connection = attempt, self
         self._reader.streams = attempt.streams
-        self._streaming = False
+        self._streaming, self._first = False, 0.0
         self._started = asyncio.get_running_loop().time()
         self._written = False
         if isinstance(attempt.message, bytes):
@@ -146,17 +147,26 @@
                 # guards against taking this process's own lateness for the backend's slowness
                 self.attempt.lag_ms += received_ago_ms(self.sock)
             # an answer before the request's last byte leaves a connection nobody can use again
+            self._came()
             self._conclude(outcome_of(response), response, response.keep_alive and self._written)
             return
+        if not self._first:
+            self._first = asyncio.get_running_loop().time()
         if self.attempt is not None and self._reader.long:
             if not self._streaming:
                 self._streaming = True
+                self._came()
                 if not self.pool.streams.answer_began(self.attempt, self._reader.head(), self):
                     self.close()  # another answer is the client's
                     return
             self.pool.streams.answer_more(self.attempt, self._reader.take())
         self._watch()
 
+    def _came(self) -> None:
+        """From the answer's first bytes on the work was done, and its way took the rest."""
+        if self.attempt is not None and self._first:
+            self.attempt.lag_ms += (asyncio.get_running_loop().time() - self._first) * 1000
+
     def _watch(self) -> None:
         """Guards against a length that does not fit: the rest never comes, and the connection stays open."""
         if not (self._paused or self._closed) and self._stalled is None:
@@ -186,6 +196,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is None and not self._closed and (response := self._reader.ended()) is not None:
+            self._came()
             self._conclude(outcome_of(response), response, False)
         self.close()
         self._broken()
