Upgrades hand the state and the clients' connections over to the newer process

Two processes at one socket were two owners of every bucket, ceiling and cold backend, and the newer one knew nothing of what work takes or which payments may have run. The newer one now asks the older for its state over a Unix socket in the folder that both share, and gets each client's connection as soon as that stands between requests; the older one lets nothing new in from then on. If the newer one dies before the older is told to end, the older goes on.

Tests: without the handover 16 units of a burst of 8 are let in by two processes.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -256,6 +256,7 @@
         self.calls: dict[int, Call] = {}
         self.pools = {0: Pool(settings.classes)}
         self.asking = ASK_FIRST
+        self.retired = False  # another process has taken over: nothing new is let in, see snapshot.py
         self.crowded_at = -inf  # the last sign of a crowded counter
         self.started = inf  # when the first event came
         self.follow(settings)
@@ -337,6 +338,8 @@
             fresh = now - self.started < call.cls.deadline_ms > call.cls.window_ms
             if now >= call.ran_until - REACH_MS or (unknown and fresh):
                 return self.fail(call)
+        if self.retired:
+            return self.refuse(now, call)
         room = not plan.ceiling_rate or customer.cap_tokens >= event.units
         kept = RESERVE * plan.burst * customer.share if marks and not event.retry else 0.0
         if room and (not plan.rate or customer.tokens - kept >= event.units):
@@ -381,7 +384,8 @@
     def admit(self, now: float, call: Call, inside: bool, counted: bool = False) -> None:
         """Send what the quota lets pass, unless the fleet is pressed."""
         event, customer = call.event, call.customer
-        backend = self.choose(now, call, self.patience(call) * (1.0 if inside else SPARE_PATIENCE))
+        patience = self.patience(call) * (1.0 if inside else SPARE_PATIENCE)
+        backend = None if self.retired else self.choose(now, call, patience)
         if backend is None:
             customer.debt -= event.units if counted else 0.0
             return self.refuse(now, call)
@@ -549,8 +553,8 @@
         """Guards a cold backend: all gateways' work in a window stays well inside what pushes it over."""
         # it does one request at a time at least; a part below one request is rounded by chance
         s, pool, warmth = self.settings, backend.pool, backend.warmth(now, self.settings)
-        if warmth >= 1:
-            return True
+        if warmth >= 1 or self.retired:
+            return warmth >= 1
         if backend.cold_turn != now // s.overload_ms:
             backend.cold_turn = now // s.overload_ms
             ready = len(pool.rings[Group.ALL, 0])
--- /dev/null
+++ b/tests/handover/test_snapshot.py
@@ -0,0 +1,178 @@
+"""What a gateway knows, given to another: one owner of each budget, and whole or not at all."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+from build import START, ended, fleet, gateway, request
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tamarindfold import Gateway, snapshot
+from tamarindfold.interface import Effect, Fail, Group, Outcome, Plan, Refuse, RequestClass, Send
+
+READ = RequestClass(1500, 6000, 3, Effect.SAFE, name="read")
+BOOK = RequestClass(1000, 4000, 5, Effect.KEYED, Group.ALL, 3000, name="book")
+PLUS = Plan(10, 20, ceiling_rate=20, ceiling_burst=40, ceiling_slack=1, name="plus")
+OLD = 60_000.0
+
+
+def made(**changes: Any) -> Gateway:
+    return gateway(**{"classes": (READ, BOOK), "plans": (PLUS,), **changes})
+
+
+def passed_on(g: Gateway, **changes: Any) -> Gateway:
+    heir = made(**changes)
+    snapshot.restore(heir, json.loads(json.dumps(snapshot.take(g))))
+    return heir
+
+
+def lets_in(g: Gateway, now: float, tries: int, first: int = 1000) -> int:
+    done = 0
+    for number in range(first, first + tries):
+        for action in g.handle(now, request(number, width=1)):
+            if isinstance(action, Send):
+                done += 1
+                g.handle(now, ended(number, action.backend, took=10))
+    return done
+
+
+@given(st.lists(st.tuples(st.floats(0, 3000), st.integers(1, 30)), min_size=1, max_size=8), st.integers(0, 7))
+def test_bucket_and_ceiling_are_those_of_one_gateway_however_often_it_is_replaced(
+        steps: list[tuple[float, int]], replaced: int) -> None:
+    """The same requests at one gateway and at a row of successors: what is let in of each customer is alike."""
+    one, row = made(), made()
+    now, number = START + OLD, 1
+    for g in (one, row):
+        g.handle(now, request(999_999, width=1))
+    for turn, (gap, tries) in enumerate(steps):
+        now += gap
+        number += tries
+        if turn & replaced or replaced == 0:
+            row = passed_on(row)
+        for g in (one, row):
+            lets_in(g, now, tries, number)
+        mine, theirs = one.customers[9], row.customers[9]
+        assert mine.cap_tokens >= -1e-6 and theirs.cap_tokens >= -1e-6
+        assert theirs.filled_at == mine.filled_at
+    # all that was ever let in, of both: never more than the ceiling gave since the start
+    gave = PLUS.ceiling_burst + (now - START) / 1000 * PLUS.ceiling_rate
+    assert row.customers[9].answers <= gave
+
+
+def test_what_was_given_away_is_spent_by_the_successor_only() -> None:
+    g = made()
+    lets_in(g, START + OLD, 5)
+    heir = passed_on(g)
+    assert lets_in(g, START + OLD, 40, 2000) == 0
+    assert all(isinstance(g.handle(START + OLD, request(n, customer=77, width=1))[0], Refuse) for n in (3001, 3002))
+    before = heir.customers[9].cap_tokens
+    assert 0 < lets_in(heir, START + OLD, 40, 4000) <= before
+
+
+def test_what_is_open_at_the_older_one_ends_there_and_may_be_tried_again() -> None:
+    g = made()
+    sent = g.handle(START + OLD, request(1))[0]
+    passed_on(g)
+    assert isinstance(sent, Send)
+    again = g.handle(START + OLD + 10, ended(1, sent.backend, Outcome.CONNECT_FAILED))[0]
+    assert isinstance(again, Send) and again.backend != sent.backend
+
+
+def test_a_retired_gateway_sends_nothing_to_a_cold_backend() -> None:
+    g = made()
+    sent = g.handle(START + OLD, request(1))[0]
+    assert isinstance(sent, Send)
+    snapshot.take(g)
+    g.handle(START + OLD, fleet(1, 2, 3, 4, up=START + OLD - 100))
+    assert isinstance(g.handle(START + OLD + 10, ended(1, sent.backend, Outcome.CONNECT_FAILED))[0], Refuse)
+
+
+def test_a_payment_that_may_have_run_is_known_to_the_successor() -> None:
+    for after, kind in ((1000, Send), (3500, Fail)):
+        g = made()
+        arrival = request(1, 1, width=1)
+        arrival.key = 77
+        assert isinstance(g.handle(START + OLD, arrival)[0], Send)
+        heir = passed_on(g)
+        retry = request(2, 1, width=1)
+        retry.key = 77
+        assert isinstance(heir.handle(START + OLD + after, retry)[0], kind), after
+
+
+def test_a_successor_knows_what_work_takes_and_which_backend_is_slow() -> None:
+    g = made()
+    for number in range(1, 30):
+        sent = g.handle(START + OLD + 20 * number, request(number, customer=number))[0]
+        if isinstance(sent, Send):
+            took = 900.0 if sent.backend == 1 else 60.0
+            g.handle(START + OLD + 20 * number + 1, ended(number, sent.backend, took=took))
+    heir = passed_on(g)
+    now = START + OLD + 700
+    assert heir.pools[0].unit_ms == g.pools[0].unit_ms and heir.pools[0].mean_work == g.pools[0].mean_work
+    for number, backend in g.backends.items():
+        assert heir.backends[number].slowness[0].now(now) == pytest.approx(backend.slowness[0].now(now))
+
+
+def test_classes_and_plans_are_found_by_their_names() -> None:
+    g = made()
+    g.pools[0].unit_ms = [11.0, 22.0]
+    lets_in(g, START + OLD, 1)
+    new = RequestClass(500, 1000, 1, Effect.SAFE, name="new")
+    heir = passed_on(g, classes=(new, BOOK, READ))
+    assert heir.pools[0].unit_ms == pytest.approx([50.0, 22.0, 11.0], rel=0.01) and 9 in heir.customers
+    g = made()
+    lets_in(g, START + OLD, 1)
+    assert 9 not in passed_on(g, plans=(Plan(1, 1, name="other"),)).customers
+
+
+def test_a_backend_that_has_started_anew_is_not_taken_for_the_old_one() -> None:
+    g = made()
+    g.backends[1].heard_at = START + 5
+    heir = made()
+    heir.handle(START, fleet(1, 2, 3, 4, up=START - 10))
+    snapshot.restore(heir, snapshot.take(g))
+    assert heir.backends[1].heard_at != START + 5
+
+
+def test_a_successor_that_dies_gives_back_all_but_what_it_may_have_spent() -> None:
+    g = made()
+    lets_in(g, START + OLD, 2)
+    snapshot.take(g)
+    snapshot.resume(g)
+    assert g.customers[9].cap_tokens == 0
+    assert lets_in(g, START + OLD + 1000, 40, 5000) <= 20  # what the ceiling gives in that second
+
+
+def broken(state: Any, path: list[Any], value: Any) -> Any:
+    wrong = copy.deepcopy(state)
+    inner = wrong
+    for step in path[:-1]:
+        inner = inner[step]
+    if value is KeyError:
+        del inner[path[-1]]
+    else:
+        inner[path[-1]] = value
+    return wrong
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    (["version"], 2), (["version"], KeyError), (["classes"], KeyError), (["classes"], ["read"]), (["customers"], 7),
+    (["customers", 0], [1, 2]), (["customers", 0, 5], 0.0), (["customers", 0, 5], "x"), (["customers", 0, 4], float("nan")),
+    (["pools", 0, 3], [1.0]), (["pools", 0, 3, 0], -1.0), (["pools", 0, 1], [1.0]), (["backends", 0, 5], []),
+    (["backends", 0, 1], None), (["booked", 0, 2], ["nowhere", 0]), (["booked", 0], "x"), (["asking"], True), ([0], 1)])
+def test_a_state_that_makes_no_sense_changes_nothing(path: list[Any], value: Any) -> None:
+    g = made()
+    arrival = request(1, 1, width=1)
+    arrival.key = 5
+    g.handle(START + OLD, arrival)
+    state = json.loads(json.dumps(snapshot.take(g)))
+    assert state["customers"] and state["booked"] and state["backends"]
+    heir = made()
+    before = json.dumps(snapshot.take(heir))
+    with pytest.raises(ValueError, match=r"."):
+        snapshot.restore(heir, broken(state, path, value) if path != [0] else [state])
+    assert json.dumps(snapshot.take(heir)) == before
--- /dev/null
+++ b/tests/peers/upgrade.py
@@ -0,0 +1,71 @@
+"""Processes that share a listening socket, as at an upgrade."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from loopback import SETTINGS, Client, Peer, target
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+class Upgrade:
+    """Processes that share a listening socket; each has an operators' address of its own."""
+
+    def __init__(self, node: Peer, where: Path, **extra: object) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = self.socket.getsockname()
+        self.where, self.node, self.extra = where, node, extra
+        self.children: list[tuple[subprocess.Popen[bytes], tuple[str, int]]] = []
+
+    async def start(self) -> int:
+        """One more process; returns its number once it says that it takes clients."""
+        number = len(self.children)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            management = free.getsockname()
+        config = {"name": "n0", "listen": "{}:{}".format(*self.address), "discovery": "127.0.0.1:9", "seed": f"{number:x}",
+                  "limits": {"sockets": 256}, "settings": SETTINGS,
+                  "known": {"rev": 5, "all": True, "targets": [target(self.node, "s-0")]}, **self.extra}
+        file = self.where / f"{number}.json"
+        file.write_text(json.dumps(config))
+        fd = self.socket.fileno()
+        env = {**os.environ, "RELAY_CONFIG": str(file), "RELAY_SOCKET_FD": str(fd), "TMPDIR": str(self.where),
+               "RELAY_MANAGEMENT": "{}:{}".format(*management)}
+        with (self.where / f"{number}.log").open("w") as log:
+            child = subprocess.Popen([sys.executable, "-m", "troutdock"], cwd=ROOT, pass_fds=(fd,), env=env, stderr=log)
+        self.children.append((child, management))
+        for _ in range(1000):
+            if await self.call(number, "GET", "ready") == 200:
+                return number
+            assert child.poll() is None, "the process has ended"
+            await asyncio.sleep(0.02)
+        raise AssertionError("never ready")
+
+    async def call(self, number: int, method: str, path: str) -> int:
+        try:
+            reader, writer = await asyncio.open_connection(*self.children[number][1])
+        except OSError:
+            return 0
+        try:
+            return (await Client(reader, writer).ask(f"{method} /control/{path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()))[0]
+        finally:
+            writer.close()
+
+    async def end(self, number: int) -> int:
+        child = self.children[number][0]
+        child.send_signal(signal.SIGTERM)
+        return await asyncio.to_thread(child.wait, 20)
+
+    def kill(self) -> None:
+        for child, _ in self.children:
+            if child.poll() is None:
+                child.kill()
+            child.wait(20)
+        self.socket.close()
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -55,7 +55,8 @@
     "http": {"http", "engine", "overload", "address", "management"},
     "platform": {"platform", "http", "overload", "address"},
     "ingress": {"engine", "http", "overload", "platform"},
-    "daemon": {"ingress", "http", "platform", "management", "address"},
+    "handover": {"handover"},
+    "daemon": {"ingress", "http", "platform", "management", "handover", "address"},
     "library": {"library", "ingress", "engine", "http", "overload", "platform", "address"},
     "asgi": {"asgi", "library", "engine", "http", "platform"},
 }
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -31,6 +31,7 @@
 from enum import Enum
 from typing import Any, cast
 
+from tamarindfold import snapshot
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
     Action, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
@@ -119,6 +120,18 @@
 
     # ---- events
 
+    def hand_over(self) -> dict[str, Any]:
+        """What the decision module knows, for a successor; from here on nothing new is let in."""
+        return snapshot.take(self._gateway)
+
+    def take_back(self) -> None:
+        """The successor has died: go on."""
+        snapshot.resume(self._gateway)
+
+    def take_over(self, state: Any) -> None:
+        """Go on from a predecessor's state; ValueError if it is none, and nothing is taken from it."""
+        snapshot.restore(self._gateway, state)
+
     def reconfigure(self, settings: Settings) -> None:
         """Other settings from now on, made by merged_settings; open calls keep the rules they came under."""
         self._most_units = settings.most_units
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from hashlib import blake2b
 from collections.abc import Sequence
 
 from tamarindfold.interface import Effect, RequestArrived, RequestWaited, Settings
@@ -126,8 +127,8 @@
 
 
 def key_number(key: bytes) -> int:
-    """A number of 64 bits for an idempotency key, never 0; it means nothing in another process."""
-    return hash(key) or 1
+    """A number of 64 bits for an idempotency key, never 0, the same in every process."""
+    return int.from_bytes(blake2b(key, digest_size=8).digest(), "big") or 1
 
 
 def _match(pattern: re.Pattern[bytes], seen: dict[bytes, bytes], name: bytes) -> re.Match[bytes]:
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -11,7 +11,7 @@
 from collections import deque
 from http import HTTPStatus
 from math import inf
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import httptools
 
@@ -157,7 +157,7 @@
 
     def _head(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> bytes:
         server = self.connection.server
-        if server.availability.sends_away or server.crowded:
+        if (server.availability.sends_away and server.heir is None) or server.crowded:
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))]
         lines += [b"%b: %b" % pair for pair in headers]
@@ -170,8 +170,9 @@
 class ClientConnection(asyncio.Protocol):
     """A connection of a client; requests may come in pieces, in a row, or chunked."""
 
-    def __init__(self, server: Server, sock: socket.socket | None = None) -> None:
+    def __init__(self, server: Server, sock: socket.socket | None = None, adopted: bool = False) -> None:
         self.server, self.sock = server, sock
+        self.adopted = adopted  # from a predecessor, between two requests
         self._parser: Any = httptools.HttpRequestParser(self)  # None once the connection is lost
         self._exchanges: deque[Exchange] = deque()
         self._received = 0  # bytes of the message that is coming
@@ -288,6 +289,18 @@
             self._paused = False
             self._transport.resume_reading()
 
+    def pass_on(self) -> socket.socket | None:
+        """Leave the connection to another process; None: something of it is here that would be lost."""
+        if self.sock is None or self.deaf or self.begun or self._exchanges:
+            return None
+        if self._received or self.unwritten:
+            return None
+        self._transport.pause_reading()
+        passed = self.sock.dup()
+        self.deaf = True
+        self._transport.abort()  # closes this process's descriptor only
+        return passed
+
     def first(self) -> Exchange | None:
         """The request whose answer is the next to go out."""
         return self._exchanges[0] if self._exchanges else None
@@ -479,6 +492,13 @@
         return [connection for connection, since in self._since.items() if since < before]
 
 
+class Heir(Protocol):
+    """A successor of this process."""
+
+    def give(self, sock: socket.socket) -> bool:
+        """Pass a connection on."""
+
+
 class Server:
     """Accepts clients within a bound on their connections, until it is told to drain."""
 
@@ -503,6 +523,7 @@
         self._accepting = False
         self._shut = False  # the drain is about to close the listener
         self._inherited = False
+        self.heir: Heir | None = None  # who takes the clients' connections
         self._listener: socket.socket
 
     def listen(self, address: Address, inherited: socket.socket | None = None) -> Address:
@@ -526,7 +547,7 @@
     # The loop's own server can't pause accepting: it would take connections past the bound on sockets.
 
     def _resume(self) -> None:
-        if not self._accepting and self._listener.fileno() >= 0:
+        if not self._accepting and self.heir is None and self._listener.fileno() >= 0:
             self._accepting = True
             self._loop.add_reader(self._listener.fileno(), self._accept)
 
@@ -562,14 +583,17 @@
                 spare.make_room()
             sock.setblocking(False)
             self._last_accept = time.monotonic()
-            self._coming += 1
-            task = self._loop.create_task(self._start(sock))
-            self._starting.add(task)
-            task.add_done_callback(self._starting.discard)
+            self._begin(sock)
+
+    def _begin(self, sock: socket.socket, adopted: bool = False) -> None:
+        self._coming += 1
+        task = self._loop.create_task(self._start(sock, adopted))
+        self._starting.add(task)
+        task.add_done_callback(self._starting.discard)
 
-    async def _start(self, sock: socket.socket) -> None:
+    async def _start(self, sock: socket.socket, adopted: bool) -> None:
         try:
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
+            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, sock, adopted), sock)
         except OSError:
             sock.close()
             self._coming -= 1
@@ -598,7 +622,7 @@
         self._coming -= 1
         self.engine.tally.connections += 1
         self._clients[connection] = None
-        self.waiting.add(connection)
+        (self.idle if connection.adopted else self.waiting).add(connection)
 
     def forget(self, connection: ClientConnection) -> None:
         """A connection has ended."""
@@ -642,6 +666,37 @@
     def rest(self, connection: ClientConnection) -> None:
         """A connection has its answer, and stands between requests."""
         self.idle.add(connection)
+        if self.heir is not None:
+            self._loop.call_soon(self._pass_on, connection)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """A predecessor passes a client's connection on; there is a place for it, or it is closed."""
+        if len(self._clients) + self._coming >= self._max_clients:
+            sock.close()
+            return
+        sock.setblocking(False)
+        self._begin(sock, adopted=True)
+
+    def leave_to(self, heir: Heir) -> None:
+        """A successor takes the clients: accept nobody, and pass on what stands between requests."""
+        self.heir = heir
+        self._shut = True
+        self._pause()
+        for connection in [*self.idle.since(), *self.waiting.since()]:
+            self._pass_on(connection)
+
+    def take_back(self) -> None:
+        """The successor has died."""
+        self.heir = None
+        if self.availability.state is not State.ENDING:
+            self._shut = False
+            self._resume()
+
+    def _pass_on(self, connection: ClientConnection) -> None:
+        if self.heir is None or connection not in self._clients:
+            return
+        if (sock := connection.pass_on()) is not None and not self.heir.give(sock):
+            sock.close()
 
     def _close(self, connection: ClientConnection) -> None:
         self.idle.drop(connection)
@@ -668,7 +723,10 @@
         while self._coming or self._clients:
             await asyncio.sleep(0.02)
             now = time.monotonic()
-            if self._inherited:
+            if self.heir is not None:
+                for connection in [*self.idle.since(), *self.waiting.since()]:
+                    self._pass_on(connection)
+            elif self._inherited:
                 self._send_away(now)
             else:
                 while (late := self.waiting.first(now - LINGER_S)) is not None:
