The rest of an answer that can't be asked for again is waited for up to two seconds

Ruled out: the restarts (failures don't follow them), half-written connections (answered 408, not counted).

--- a/tests/http/test_long_answers.py
+++ b/tests/http/test_long_answers.py
@@ -256,3 +256,24 @@
 
 def test_more_than_any_answer_may_have_is_taken_for_spoilt() -> None:
     assert 32 * 1024 * 1024 < MAX_STREAMED < 3 * 1024**3
+
+
+@pytest.mark.parametrize(("cls", "tries"), [("vat-filing", 1), ("ledger-read", 2)])
+def test_the_rest_of_an_answer_is_waited_for_longer_where_nothing_else_can_be_tried(cls: str, tries: int) -> None:
+    """A backend that stands still for half a second in the middle of its answer: seen on a recorded day."""
+    async def test() -> None:
+        asked: list[int] = []
+
+        async def pauses(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            asked.append(1)
+            if len(asked) == 1:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndo")
+                await asyncio.sleep(0.6)
+                writer.write(b"ne")
+            else:
+                await answer()(peer, data, writer)
+
+        async with world(pauses, pauses) as w:
+            status, _, body = await w.ask(request(cls))
+            assert (status, body, len(asked)) == (200, b"done", tries)
+    run(test())
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -21,6 +21,7 @@
 
 REST_S = 0.005  # before a connection is used again: by then what stands behind an answer has come too
 STALL_S = 0.3  # a response that has begun and brings nothing for so long is not completed any more
+ONCE_STALL_S = 2.0  # the same where nothing else can be tried: a backend may stand still for half a second
 STREAM_STALL_S = 5.0  # the same for one that is passed on as it comes, which can't be tried again
 STALE_S = 0.02  # a reset so soon after the request tells that the connection had ended unseen before it
 IDLE_LEAST_S = 0.03  # a connection may be used again for so long after its last answer at least
@@ -170,7 +171,8 @@
     def _watch(self) -> None:
         """Guards against a length that does not fit: the rest never comes, and the connection stays open."""
         if not (self._paused or self._closed) and self._stalled is None:
-            after_s = STREAM_STALL_S if self._streaming else STALL_S
+            once = self.attempt is not None and not self.attempt.repeatable
+            after_s = STREAM_STALL_S if self._streaming else ONCE_STALL_S if once else STALL_S
             self._stalled = asyncio.get_running_loop().call_later(after_s, self._stall)
 
     def pause(self) -> None:
