A message that begins behind another has its own time

Found on reading the change over: of two messages in one read, the second kept the time of the first one's body, so that its head was answered 408 some 1.5 s after the first had come. The pace of a message now begins with its first byte, and with the connection's start for the first message only; the caller need not know which it is.

--- a/tests/http/test_bodies.py
+++ b/tests/http/test_bodies.py
@@ -47,12 +47,12 @@
 def test_a_silent_connection_a_head_and_a_body_each_have_their_own_time() -> None:
     pace = Pace(100.0)
     assert not pace.late(100.0 + SILENT_S, 0) and pace.late(100.01 + SILENT_S, 0)
-    pace.starts()
+    pace.begins(101.0)
     assert not pace.late(100.0 + HEAD_S, 0) and pace.late(100.01 + HEAD_S, 0)
     pace.head_done(102.0)
     assert not pace.late(102.0 + GRACE_S, 0) and pace.late(102.01 + GRACE_S, 0)
     assert not pace.late(102.0 + GRACE_S + 10, 10 * PACE)
-    pace.first_byte(200.0)
+    pace.begins(200.0)
     assert not pace.late(200.0 + HEAD_S, 0) and pace.late(200.01 + HEAD_S, 0)
 
 
@@ -68,6 +68,27 @@
     run(test())
 
 
+def test_a_message_behind_a_slow_one_has_its_own_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Both begin in one read; the time of the first one's body used to be held against the second's head."""
+    monkeypatch.setattr(bodies, "GRACE_S", 0.1)
+    monkeypatch.setattr("troutdock.daemon.SWEEP_S", 0.02)
+
+    async def test() -> None:
+        async def later(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.3)
+            await answer()(peer, data, writer)
+
+        async with world(later) as w:
+            client = await w.client()
+            second = request(number=2)
+            client.writer.write(request() + second[:30])
+            assert (await client.answer())[0] == 200
+            await asyncio.sleep(0.1)
+            client.writer.write(second[30:])
+            assert (await client.answer())[0] == 200
+    run(test())
+
+
 @pytest.mark.parametrize(("url", "path"), [
     (b"/a/b?c=http://x", b"/a/b?c=http://x"), (b"http://h:80/a/b?c", b"/a/b?c"), (b"HTTPS://h/a", b"/a"),
     (b"http://h", b"/"), (b"http://h?c", b"/?c"), (b"*", b"*"), (b"h:80", b"h:80")])
--- a/troutdock/http/bodies.py
+++ b/troutdock/http/bodies.py
@@ -54,18 +54,17 @@
 class Pace:
     """How long the message that is coming has taken, on a clock in seconds."""
 
-    __slots__ = ("_body_since", "_since", "_started")
+    __slots__ = ("_body_since", "_fresh", "_since", "_started")
 
-    def __init__(self, now: float) -> None:
-        self._since, self._started, self._body_since = now, False, 0.0
+    def __init__(self, now: float, fresh: bool = True) -> None:
+        """fresh: no message has come yet, and the first one's time runs from the connection's start."""
+        self._since, self._fresh, self._started, self._body_since = now, fresh, False, 0.0
 
-    def first_byte(self, now: float) -> None:
-        """A message begins on a connection that has stood between two."""
-        self._since, self._started, self._body_since = now, True, 0.0
-
-    def starts(self) -> None:
-        """The first message of a connection begins: its time runs from the connection's start."""
-        self._started = True
+    def begins(self, now: float) -> None:
+        """The first byte of a message."""
+        if not self._fresh:
+            self._since = now
+        self._fresh, self._started, self._body_since = False, True, 0.0
 
     def head_done(self, now: float) -> None:
         """The head is whole; from now on the body is measured."""
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -190,7 +190,7 @@
         self.deaf = False  # the connection is about to end: nothing more is taken
         self._paused = self._full = False  # reading, and what is written and not taken
         self._transport: asyncio.Transport
-        self._pace = Pace(time.monotonic())
+        self._pace = Pace(time.monotonic(), not adopted)
         self._held = 0  # bytes of the budget for bodies that the message which is coming has
         self._continue = False  # the client waits to be told that its body is wanted
         self._clear()
@@ -374,10 +374,7 @@
     def on_message_begin(self) -> None:
         self.begun = True
         self._clear()
-        if self in self.server.waiting:
-            self._pace.starts()
-        else:
-            self._pace.first_byte(time.monotonic())
+        self._pace.begins(time.monotonic())
 
     def _clear(self) -> None:
         self._url, self._size = b"", 0
