--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from copy import copy
+from dataclasses import replace
 from math import ceil, inf, sqrt
 from random import Random
 from typing import Any
@@ -13,7 +14,8 @@
 from tamarindfold.interface import (
     Actions, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
     Event, Fail, FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
-    RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, TimerFired, renumbered,
+    RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, Settled, TimerFired,
+    renumbered,
 )
 
 # ---- tuned constants
@@ -122,6 +124,14 @@
         self.appointments.append(back_at)
         return back_at - now
 
+    def took(self, units: float, true_units: float) -> None:
+        """A good answer tells the true units; units: how much more than the guess that was taken."""
+        self.answers += 1
+        self.unit_sum += true_units
+        self.unit_squares += true_units * true_units
+        self.tokens -= units
+        self.debt += units
+
     def follow(self, now: float, over: bool) -> None:
         """Each second: a dry slice of a customer under quota grows, that of one over it falls back."""
         if now - self.followed_at >= SECOND_MS:
@@ -257,6 +267,8 @@
         self.pools = {0: Pool(settings.classes)}
         self.asking = ASK_FIRST
         self.retired = False  # another process has taken over: nothing new is let in, see snapshot.py
+        self.foreign: dict[tuple[int, int], tuple[int, int]] = {}  # attempts of the one before: numbers here
+        self.adopted = 0
         self.crowded_at = -inf  # the last sign of a crowded counter
         self.started = inf  # when the first event came
         self.follow(settings)
@@ -265,7 +277,7 @@
             RequestArrived: self.arrived, RequestWaited: self.waited, AttemptEnded: self.ended,
             AnswerBegan: self.began,
             CountAnswered: self.count_answered, FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn,
-            TimerFired: self.overdue, SettingsChanged: self.configured}
+            TimerFired: self.overdue, SettingsChanged: self.configured, Settled: self.settled}
 
     def follow(self, settings: Settings) -> None:
         """Keep what follows from the settings."""
@@ -385,7 +397,8 @@
         """Send what the quota lets pass, unless the fleet is pressed."""
         event, customer = call.event, call.customer
         patience = self.patience(call) * (1.0 if inside else SPARE_PATIENCE)
-        backend = None if self.retired else self.choose(now, call, patience)
+        spent = self.retired and (customer.plan.ceiling_rate or not counted)  # these stores are another's
+        backend = None if spent else self.choose(now, call, patience)
         if backend is None:
             customer.debt -= event.units if counted else 0.0
             return self.refuse(now, call)
@@ -402,6 +415,8 @@
             return self.fail(call)  # another gateway might send it elsewhere
         if not call.may_have_run:
             self.booked.never_ran(now, call.event.key)
+            if self.retired and call.event.key:
+                self.actions.append(Settled(call.event.request, -1, key=call.event.key))
         wait = call.customer.return_time(now, call.event.units, NO_SHOW_MS * self.settings.marks_retry)
         self.actions.append(Refuse(call.event.request, wait))
         self.calls.pop(call.event.request, None)
@@ -605,6 +620,12 @@
         if call.event.key:
             self.booked.note(now, call.event.key, self.group(backend, call.cls))
         self.actions.append(Send(call.event.request, backend.entry.backend))
+        if self.retired:
+            group = self.group(backend, call.cls) if call.event.key else None
+            self.actions.append(Settled(
+                call.event.request, number, None, backend.entry.backend, backend.entry.up_since_ms,
+                self.settings.classes[call.event.cls].name, now, call.work, pile, now + due,
+                key=call.event.key, group=group))
         self.watch(now, call, due)
 
     def watch(self, now: float, call: Call, due: float) -> None:
@@ -639,17 +660,16 @@
         if backend and known:
             backend.load = max(0.0, backend.load - known[1]) if backend.out else 0.0
             self.learn(now, backend, event, known)
+        if self.retired:
+            self.actions.append(self.settlement(event, call, backend, known))
         if call is None:
             return
         if event.used_percent is not None:  # the site has a meter: it takes the counter's place
             call.customer.follow(now, event.used_percent >= 100)
         if event.outcome is Outcome.OK:
             units = event.true_units or call.event.units
-            call.customer.answers += 1
-            call.customer.unit_sum += units
-            call.customer.unit_squares += units * units
-            call.customer.tokens -= units - call.event.units
-            call.customer.debt += units - call.event.units
+            if not self.retired:  # else it is told to the owner of the quota
+                call.customer.took(units - call.event.units, units)
         if event.attempt in call.out:
             call.out.remove(event.attempt)
         if event.over:
@@ -660,6 +680,61 @@
         if not call.out or event.attempt == len(call.tried) - 1:  # else the copy sent last goes on
             self.again(now, call)
 
+    # ---- one gateway after the other
+
+    def settlement(self, event: AttemptEnded, call: Call | None, backend: Backend | None,
+                   sent: Sent | None) -> Settled:
+        """What the gateway that has this one's state is to know of an attempt's end."""
+        told = Settled(event.request, event.attempt, event.outcome, event.backend,
+                       elapsed_ms=event.elapsed_ms, lag_ms=event.lag_ms)
+        if backend and sent:
+            told.up_since_ms = backend.entry.up_since_ms
+            told.sent_at, told.work, told.pile, number, told.due_at = sent
+            told.cls = self.settings.classes[number].name
+        if call and event.outcome is Outcome.OK:
+            told.customer, told.plan = call.customer.number, call.customer.plan.name
+            told.true_units = event.true_units or call.event.units
+            told.units = told.true_units - call.event.units
+        return told
+
+    def settled(self, now: float, event: Settled) -> None:
+        """An attempt of the gateway before this one: load while it is out, and then a sign like any other."""
+        mine = self.foreign.get((event.request, event.attempt))
+        if event.outcome is None and mine is None:
+            mine = self.adopt(event.request, event.attempt)
+        if self.retired:  # the next one has the state, and knows the attempt by this one's number
+            number, attempt = mine or (event.request, event.attempt)
+            self.actions.append(replace(event, request=number, attempt=attempt))
+        if event.attempt < 0:
+            return self.booked.never_ran(now, event.key)
+        backend = self.backends.get(event.backend)
+        if backend and backend.entry.up_since_ms != event.up_since_ms:
+            backend = None  # started anew since
+        cls = next((n for n, c in enumerate(self.settings.classes) if c.name == event.cls), 0)
+        sent = event.sent_at, event.work, event.pile, cls, event.due_at
+        if event.outcome is None:
+            self.booked.note(event.sent_at, event.key, event.group)
+            if backend and mine:
+                backend.out[mine] = sent
+                backend.load += event.work
+            return
+        self.foreign.pop((event.request, event.attempt), None)
+        known = backend.out.pop(mine, None) if backend and mine else None
+        if backend and known:
+            backend.load = max(0.0, backend.load - known[1]) if backend.out else 0.0
+            self.learn(now, backend, AttemptEnded(*(mine or (0, 0)), event.backend, event.outcome,
+                                                  event.elapsed_ms, True, lag_ms=event.lag_ms), sent)
+        customer = self.customers.get(event.customer)
+        if customer and event.true_units and customer.plan.name == event.plan:
+            customer.refill(now)
+            customer.took(event.units, event.true_units)
+
+    def adopt(self, request: int, attempt: int) -> tuple[int, int]:
+        """A number of this gateway's own, below nought, for an attempt of the one before."""
+        self.adopted -= 1
+        self.foreign[request, attempt] = self.adopted, 0
+        return self.adopted, 0
+
     def began(self, now: float, event: AnswerBegan) -> None:
         """The answer is the client's: no copy follows, and where the work is done it is no load any more."""
         if (call := self.calls.get(event.request)) is not None:
@@ -670,6 +745,8 @@
             done = AttemptEnded(event.request, event.attempt, event.backend, Outcome.OK, event.elapsed_ms,
                                 False, lag_ms=event.lag_ms)
             self.learn(now, backend, done, sent)
+            if self.retired:
+                self.actions.append(self.settlement(done, None, backend, sent))
 
     def may_run(self, call: Call, number: int, sent_at: float) -> None:
         """An attempt may have run, or may yet: a keyed request then keeps to the group that knows it."""
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -333,8 +333,39 @@
     total: float
 
 
+@dataclass(slots=True)
+class Settled:
+    """What has become of an attempt at a gateway whose state another one has.
+
+    An action of the retired gateway, and an event of the other: its number of the request means nothing
+    there but the same attempt. outcome None: it has been sent just now. Attempt -1: the request was refused,
+    and nothing of it has run. cls, plan: by name, as the two may number them differently. work, pile and
+    due_at as they were at the send, in milliseconds of an idle backend's time, as a multiple, and as a time.
+    units: the true ones less the guess, only with true_units over 0.
+    """
+
+    request: int
+    attempt: int
+    outcome: Outcome | None = None
+    backend: BackendId = 0
+    up_since_ms: float = 0.0
+    cls: str = ""
+    sent_at: float = 0.0
+    work: float = 0.0
+    pile: float = 1.0
+    due_at: float = 0.0
+    elapsed_ms: float = 0.0
+    lag_ms: float = 0.0
+    customer: int = 0
+    plan: str = ""
+    units: float = 0.0
+    true_units: float = 0.0
+    key: int = 0
+    group: tuple[Group, int] | None = None
+
+
 Event = (FleetUpdate | SettingsChanged | RequestArrived | RequestWaited | AnswerBegan | AttemptEnded
-         | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage | CountAnswered)
+         | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage | CountAnswered | Settled)
 
 
 # ---- actions
@@ -412,5 +443,5 @@
     text: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Tell | Count | Log
+Action = Send | Cancel | Refuse | Fail | SetTimer | Probe | Tell | Count | Log | Settled
 Actions = list[Action]
--- a/tamarindfold/snapshot.py
+++ b/tamarindfold/snapshot.py
@@ -1,13 +1,17 @@
-"""What a gateway knows, as plain data for JSON, and a gateway that goes on from it (no I/O).
+"""What a gateway knows, as plain data, and a gateway that goes on from it (no I/O).
 
 Theory of operation. One gateway owns each budget (buckets, ceilings, cold backends) at any time:
 
     owner     take               -> retired, and its state is the other's
-    retired   lets nothing new in; what is open goes on, further attempts go to warm backends only
-    retired   resume             -> owner again: the other has died; ceilings start empty, as what it spent is
-                                    unknown
-    fresh     restore            -> owner of the state
-
+    retired   lets nothing new in; what is open goes on, further attempts go to warm backends only, and what
+              comes of each is an action, Settled, for the other
+    retired   resume             -> owner again: the other never took the state, or has died; in that case
+                                    ceilings start empty, as what it spent is unknown
+    fresh     restore            -> owner of the state; attempts that were out are load until settled
+    owner     forget             -> the one before has ended: what it has not told is not waited for
+
+The state is made of names: rows hold the fields that their head lists, and sections may be missing. So a
+program can go on from the state of an older or a newer one; what it does not know is left out and named.
 Restoring is whole or not at all: ValueError leaves the gateway as it was. What the gateway itself knows
 better (which backends there are, its settings) is not taken from the state. All times are Unix time in
 milliseconds, so what goes by between take and restore counts as time gone by.
@@ -16,84 +20,186 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterator
+from copy import copy
 from math import inf
 from typing import Any
 
-from tamarindfold.choice import KEYS, Customer, Gateway, Slowness
+from tamarindfold.choice import KEYS, Customer, Gateway, Sent, Slowness
 from tamarindfold.interface import Group
 
-VERSION = 1
+VERSION = 2
+OLDEST = 2  # that can be read: rows without heads came before
 _NUMBERS = ("even", "share", "tokens", "cap_tokens", "filled_at", "end_of_queue_time", "answers", "unit_sum",
             "unit_squares", "debt", "store", "told_at", "followed_at")  # of a customer
+_CUSTOMER = ("number", "plan", "dry", "appointments", *_NUMBERS)
+_POOL = ("number", "slowness", "retries", "unit_ms", "mean_work")
+_BACKEND = ("number", "up_since", "heard_at", "cold_turn", "cold_left", "slowness")
+_ATTEMPT = ("backend", "up_since", "request", "attempt", "sent_at", "work", "pile", "class", "due_at")
+_BOOKED = ("key", "at", "group", "requests")
+_GATEWAY = ("started", "asking", "crowded_at")
+_SECTIONS = {"customers": _CUSTOMER, "pools": _POOL, "backends": _BACKEND, "attempts": _ATTEMPT,
+             "booked": _BOOKED}
 
 
 def take(gateway: Gateway) -> dict[str, Any]:
     """The state; the gateway lets nothing new in from here on."""
     gateway.retired = True
-    state = {
-        "version": VERSION, "classes": [c.name for c in gateway.settings.classes],
-        "started": gateway.started, "asking": gateway.asking, "crowded_at": gateway.crowded_at,
+    rows: dict[str, list[list[Any]]] = {
         "customers": [[c.number, c.plan.name, c.dry, list(c.appointments or ()),
                        *(getattr(c, name) for name in _NUMBERS)] for c in gateway.customers.values()],
         "pools": [[number, _slowness(p.slowness), p.retries, p.unit_ms, p.mean_work]
                   for number, p in gateway.pools.items()],
         "backends": [[number, b.entry.up_since_ms, b.heard_at, b.cold_turn, b.cold_left,
                       [_slowness(s) for s in b.slowness]] for number, b in gateway.backends.items()],
+        "attempts": [[number, b.entry.up_since_ms, *key, *sent] for number, b in gateway.backends.items()
+                     for key, sent in b.out.items()],
         "booked": [[key, at, None if group is None else [group[0].value, group[1]], requests]
                    for key, (at, group, requests) in gateway.booked.first.items()]}
+    state = {"version": VERSION, "classes": [c.name for c in gateway.settings.classes],
+             **{name: getattr(gateway, name) for name in _GATEWAY},
+             **{name: {"fields": list(fields), "rows": rows[name]} for name, fields in _SECTIONS.items()}}
     for customer in gateway.customers.values():
         customer.debt = 0.0  # the other reports it
     return state
 
 
-def resume(gateway: Gateway) -> None:
-    """The other has died: go on, and spend nothing of a ceiling that it may have spent."""
-    gateway.retired = False
-    for customer in gateway.customers.values():
-        customer.cap_tokens = 0.0
+def resume(gateway: Gateway, now: float, untouched: Any = None) -> None:
+    """The other has died: go on, and spend nothing of a ceiling that it may have spent.
 
+    For a gateway that has waited for the other's state as well: what that spent meanwhile is not known.
 
-def restore(gateway: Gateway, state: Any) -> None:
-    """Go on from a state; ValueError if it is none, and then nothing is taken from it."""
+    untouched: the state that was taken, where the other is known to have spent nothing of it.
+    """
+    gateway.retired = False
+    debts: dict[int, float] = {}
+    if untouched is not None:
+        at = {name: n for n, name in enumerate(_CUSTOMER)}
+        debts = {row[at["number"]]: row[at["debt"]] for row in untouched["customers"]["rows"]}
+    if untouched is None:
+        gateway.started = now  # of customers that come for the first time nothing is known either
+    for customer in gateway.customers.values():
+        if untouched is None:
+            customer.cap_tokens, customer.filled_at = 0.0, max(customer.filled_at, now)
+        customer.debt += debts.get(customer.number, 0.0)
+
+
+def forget(gateway: Gateway) -> None:
+    """The gateway before this one has ended: its attempts that were never settled are no load any more."""
+    numbers = {*gateway.foreign.values()}
+    gateway.foreign.clear()
+    for backend in gateway.backends.values():
+        for key in [key for key in backend.out if key in numbers]:
+            backend.load -= backend.out.pop(key)[1]
+        backend.load = max(0.0, backend.load) if backend.out else 0.0
+
+
+class _Unknown:
+    """Names in a state that this program does not know, or does not find."""
+
+    def __init__(self) -> None:
+        self.names: list[str] = []
+
+    def rows(self, state: dict[str, Any], section: str) -> Iterator[dict[str, Any]]:
+        """The rows of a section, with the fields that are known, by name."""
+        known = _SECTIONS[section]
+        if section not in state:
+            self.names.append(f"no {section}")
+            return
+        heads = [str(name) for name in state[section]["fields"]]
+        self.names += [f"{section}.{name}" for name in heads if name not in known]
+        self.names += [f"no {section}.{name}" for name in known if name not in heads]
+        for row in state[section]["rows"]:
+            yield {name: value for name, value in zip(heads, row, strict=True) if name in known}
+
+
+def restore(gateway: Gateway, state: Any) -> list[str]:
+    """Go on from a state; ValueError if it is none, and then nothing is taken from it.
+
+    The answer: what the state holds that is not known here and left out, and "no ..." for what it lacks.
+    """
+    unknown = _Unknown()
     try:
-        if state["version"] != VERSION:
-            raise ValueError(f"a state of version {state['version']!r}, not {VERSION}")
+        if not _number(state["version"]) >= OLDEST:
+            raise ValueError(f"a state of version {state['version']!r}, and {OLDEST} is the oldest known")
         names = [str(name) for name in state["classes"]]
+        unknown.names += sorted(
+            str(name) for name in state if name not in ("version", "classes", *_GATEWAY, *_SECTIONS))
         came_from = [names.index(c.name) if c.name in names else None for c in gateway.settings.classes]
-        customers = {c.number: c for raw in state["customers"] if (c := _customer(gateway, raw)) is not None}
-        pools = [(int(number), _read_slowness(slow), _number(retries), [_number(ms, 1e-6) for ms in unit_ms],
-                  _number(work, 1e-6)) for number, slow, retries, unit_ms, work in state["pools"]]
-        backends = [(int(number), [_number(t) for t in times], [_read_slowness(s) for s in slow])
-                    for number, *times, slow in state["backends"]]
-        booked = {int(key): (_number(at), _read_group(group), int(requests))
-                  for key, at, group, requests in state["booked"][-KEYS:]}
-        started, asking, crowded_at = (_number(state[n]) for n in ("started", "asking", "crowded_at"))
-        for *_, unit_ms, _ in pools:
-            _check_length(unit_ms, names)
-        for _, times, slow in backends:
-            _check_length(slow, names)
-            _check_length(times, ["up", "heard", "turn", "left"])
+        customers = {c.number: c for row in unknown.rows(state, "customers")
+                     if (c := _customer(gateway, row)) is not None}
+        pools = [_pool(row, names) for row in unknown.rows(state, "pools")]
+        backends = [_backend(row, names) for row in unknown.rows(state, "backends")]
+        attempts = [_attempt(row, names) for row in unknown.rows(state, "attempts")]
+        booked = {int(row["key"]): (_number(row["at"]), _read_group(row["group"]),
+                                    int(row.get("requests", 2)))  # 2: it is not known that it never ran
+                  for row in unknown.rows(state, "booked")}
+        figures = {name: _number(state[name]) for name in _GATEWAY if name in state}
     except (KeyError, TypeError, AttributeError, IndexError, OverflowError) as error:
         raise ValueError(f"no state of a gateway: {error!r}") from error
-    gateway.started, gateway.asking, gateway.crowded_at = started, min(1.0, asking), crowded_at
+    for name, value in figures.items():
+        setattr(gateway, name, min(1.0, value) if name == "asking" else value)
     gateway.customers.update(customers)
-    gateway.booked.first.update(booked)
-    for number, slowness, retries, unit_ms, work in pools:
-        pool = gateway.pool(number)
-        pool.slowness, pool.retries, pool.mean_work, pool.patience_for = slowness, retries, work, []
-        pool.unit_ms = [mine if at is None else unit_ms[at]
-                        for mine, at in zip(pool.unit_ms, came_from, strict=True)]
-    for number, (up, heard, turn, left), slow in backends:
-        known = gateway.backends.get(number)
+    for key in list(booked)[-KEYS:]:
+        gateway.booked.first[key] = booked[key]
+    for row in pools:
+        pool = gateway.pool(row["number"])
+        pool.patience_for = []
+        for name in row.keys() & {"slowness", "retries", "mean_work"}:
+            setattr(pool, name, row[name])
+        if "unit_ms" in row:
+            pool.unit_ms = [mine if at is None else row["unit_ms"][at]
+                            for mine, at in zip(pool.unit_ms, came_from, strict=True)]
+    for row in backends:
+        known = gateway.backends.get(row["number"])
+        if known is not None and known.entry.up_since_ms == row["up_since"]:
+            for name in row.keys() & {"heard_at", "cold_turn", "cold_left"}:
+                setattr(known, name, row[name])
+            if "slowness" in row:
+                known.slowness = [mine if at is None else copy(row["slowness"][at])
+                                  for mine, at in zip(known.slowness, came_from, strict=True)]
+    for number, up, theirs, (at, work, pile, cls, due) in attempts:
+        known, mine = gateway.backends.get(number), gateway.adopt(*theirs)
         if known is not None and known.entry.up_since_ms == up:
-            known.heard_at, known.cold_turn, known.cold_left = heard, turn, left
-            known.slowness = [mine if at is None else slow[at]
-                              for mine, at in zip(known.slowness, came_from, strict=True)]
-
-
-def _check_length(found: list[Any], names: list[str]) -> None:
+            known.out[mine] = at, work, pile, came_from.index(cls) if cls in came_from else 0, due
+            known.load += work
+    return unknown.names
+
+
+def _pool(row: dict[str, Any], names: list[str]) -> dict[str, Any]:
+    read: dict[str, Any] = {"number": int(row["number"])}
+    if "slowness" in row:
+        read["slowness"] = _read_slowness(row["slowness"])
+    if "retries" in row:
+        read["retries"] = _number(row["retries"])
+    if "mean_work" in row:
+        read["mean_work"] = _number(row["mean_work"], 1e-6)
+    if "unit_ms" in row:
+        read["unit_ms"] = _each([_number(ms, 1e-6) for ms in row["unit_ms"]], names)
+    return read
+
+
+def _backend(row: dict[str, Any], names: list[str]) -> dict[str, Any]:
+    read = {name: _number(value) for name, value in row.items() if name not in ("number", "slowness")}
+    read["number"], read["up_since"] = int(row["number"]), _number(row["up_since"])
+    if "slowness" in row:
+        return {**read, "slowness": _each([_read_slowness(s) for s in row["slowness"]], names)}
+    return read
+
+
+def _attempt(row: dict[str, Any], names: list[str]) -> tuple[int, float, tuple[int, int], Sent]:
+    cls = int(row["class"])
+    if not 0 <= cls < len(names):
+        raise ValueError(f"an attempt of class {cls}, of {len(names)}")
+    sent = (_number(row["sent_at"]), _number(row["work"], 0), _number(row["pile"], 1e-6), cls,
+            _number(row["due_at"]))
+    return int(row["backend"]), _number(row["up_since"]), (int(row["request"]), int(row["attempt"])), sent
+
+
+def _each(found: list[Any], names: list[str]) -> list[Any]:
     if len(found) != len(names):
         raise ValueError(f"{len(found)} figures for {len(names)}: {', '.join(names)}")
+    return found
 
 
 def _number(raw: Any, least: float = -inf) -> float:
@@ -117,18 +223,19 @@
     return slowness
 
 
-def _customer(gateway: Gateway, raw: Any) -> Customer | None:
+def _customer(gateway: Gateway, row: dict[str, Any]) -> Customer | None:
     """None: its plan is gone."""
-    number, plan_name, dry, appointments, *numbers = raw
-    plan = next((p for p in gateway.settings.plans if p.name == plan_name), None)
+    plan = next((p for p in gateway.settings.plans if p.name == row["plan"]), None)
     if plan is None:
         return None
-    customer = Customer(plan, 1, 0.0, int(number))
-    for name, value in zip(_NUMBERS, numbers, strict=True):
-        setattr(customer, name, _number(value))
+    customer = Customer(plan, 1, 0.0, int(row["number"]))
+    for name in _NUMBERS:
+        if name in row:
+            setattr(customer, name, _number(row[name]))
     if not 0 < customer.even <= 1 or not 0 < customer.share <= 1:
         raise ValueError(f"a customer with shares {customer.even!r} and {customer.share!r}")
-    customer.dry = bool(dry)
+    customer.dry = bool(row.get("dry"))
+    appointments = row.get("appointments")
     customer.appointments = deque(_number(at) for at in appointments) if appointments else None
     customer.cap_tokens = min(customer.cap_tokens, plan.ceiling_burst * customer.even)
     return customer
--- a/tamarindfold/wire.py
+++ b/tamarindfold/wire.py
@@ -10,7 +10,7 @@
 from tamarindfold.interface import (
     Action, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
     Event, Fail, FleetUpdate, Group, ListKind, Log, Outcome, PeerMessage, Plan, Probe, ProbeEnded, Refuse,
-    RequestArrived, RequestClass, RequestWithdrawn, Send, SetTimer, Settings, Tell, TimerFired,
+    RequestArrived, RequestClass, RequestWithdrawn, Send, SetTimer, Settings, Settled, Tell, TimerFired,
 )
 
 
@@ -199,6 +199,8 @@
             return _OUT_TELL.pack(1120, 10 + len(message), instance, whom, len(message)) + message
         case Log(text):
             return write_text(LOG_CODE, instance, text)
+        case Settled():
+            raise WireError("the simulator has no successors to tell")
 
 
 def write_text(code: int, instance: int, text: str) -> bytes:
--- /dev/null
+++ b/tests/handover/test_roles.py
@@ -0,0 +1,307 @@
+"""Both parts of an upgrade against each other: any message cut, any death, and one owner of everything."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tamarindfold.interface import Outcome, Settled
+from troutdock.handover import roles
+from troutdock.handover.protocol import (
+    MAX_STATE, PIECE, VERSION, WINDOW, Ack, Bytes, Done, Hello, Passed, ProtocolError, Sorry, State, StateEnd, Took,
+    Welcome, Wish, checksum, decode, encode,
+)
+from troutdock.handover.roles import Giving, Item, Predecessor, Successor, Taking
+
+STATE = bytes(range(256)) * 300  # three pieces
+
+
+class Upgrade(RuleBasedStateMachine):
+    """The two hosts and a link as a Unix socket is one: in order, lossless, and cut from either side.
+
+    Who gives up shuts its receiving side: sends toward it fail from then on, what has come is read, then the
+    other side sees the end behind what was sent to it. A death is the same without the reading.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.older, self.newer = Predecessor(), Successor()
+        self.to_older: deque[Any] = deque()
+        self.to_newer: deque[Any] = deque()
+        self.alive = {"older": True, "newer": True}
+        self.shut = {"older": False, "newer": False}
+        self.retired = self.owns = False
+        self.link = 0
+        self.asks = True  # the newer one has to find the older one
+        self.names = 0
+        self.told: list[int] = []
+        self.heard: list[int] = []
+        self.at_older: dict[int, bytes] = {}  # connections that it reads from, and what has come on them
+        self.at_newer: dict[int, bytes] = {}
+        self.all: dict[int, bytes] = {}
+        self.find()
+
+    # ---- the hosts
+
+    @precondition(lambda self: self.asks and self.alive["newer"])
+    @rule()
+    def find(self) -> None:
+        """Ask on a new link; if nobody listens there the older one has died."""
+        self.asks = False
+        if not self.alive["older"]:
+            self.owns = True
+            return
+        self.link += 1
+        self.newer = Successor()
+        self.to_newer.clear()
+        self.shut = {"older": False, "newer": False}
+        while self.to_older:  # of the link before
+            self.read_older(self.link - 1)
+        self.done_older(self.older.cut(self.link - 1))
+        self.newer_does(self.newer.ask())
+
+    def done_older(self, effects: list[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case roles.Send(link, message, connection):
+                    if link == self.link and self.alive["newer"] and not self.shut["newer"]:
+                        self.to_newer.append((decode(encode(message)), connection))
+                case roles.Retire():
+                    self.retired = True
+                    self.done_older(self.older.state(STATE, False))
+                case roles.Owned(error, _):
+                    assert not error and self.owns
+                case roles.Given(connection):
+                    assert connection in self.at_newer or not self.alive["newer"]
+                case roles.Lost(untouched, returned):
+                    assert untouched != self.owns
+                    self.retired = False
+                    for item in returned:
+                        assert item.connection not in self.at_older
+                        self.at_older[item.connection] = item.data
+                    self.owns = False  # as if it had died; if not, the older one's ceilings are empty
+                case roles.Shut(link) | roles.Close(link):
+                    if link == self.link:
+                        self.give_up("older")
+                case roles.Wished():
+                    assert not self.retired
+
+    def newer_does(self, effects: list[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case roles.Send(_, message) | roles.Decide(_, message):
+                    there = self.alive["older"] and not self.shut["older"]
+                    if there:
+                        self.to_older.append(decode(encode(message)))
+                    if isinstance(effect, roles.Decide):
+                        self.newer_does(self.newer.said(there))
+                        if not there:
+                            self.give_up("newer")
+                case roles.Take(state, _):
+                    assert state == STATE
+                    self.newer_does(self.newer.took("", ()))
+                case roles.Owner():
+                    self.owns = True
+                case roles.Alone() | roles.Again():
+                    self.asks = True
+                case roles.Adopt(item):
+                    assert item.connection not in self.at_newer
+                    self.at_newer[item.connection] = item.data
+                case roles.Settle(settled):
+                    self.heard.append(settled.request)
+                case roles.Close():
+                    self.give_up("newer")
+
+    def give_up(self, side: str) -> None:
+        """Shut, read what is there, end."""
+        if self.shut[side]:
+            return
+        self.shut[side] = True
+        if side == "older":
+            while self.to_older:
+                self.read_older()
+            self.done_older(self.older.cut(self.link))
+        else:
+            self.to_newer.clear()  # what is not acknowledged goes back
+            self.newer_does(self.newer.cut())
+
+    def read_older(self, link: int = 0) -> None:
+        if self.to_older:
+            self.done_older(self.older.receive(link or self.link, self.to_older.popleft()))
+        elif self.shut["newer"] or not self.alive["newer"]:
+            self.give_up("older")
+
+    def read_newer(self) -> None:
+        if self.to_newer:
+            self.newer_does(self.newer.receive(*self.to_newer.popleft()))
+        elif self.shut["older"] or not self.alive["older"]:
+            self.give_up("newer")
+
+    # ---- what may happen
+
+    @rule(times=st.integers(1, 12))
+    def older_reads(self, times: int) -> None:
+        for _ in range(times * self.alive["older"] * (not self.shut["older"])):
+            if not self.shut["older"]:
+                self.read_older()
+
+    @rule(times=st.integers(1, 12))
+    def newer_reads(self, times: int) -> None:
+        for _ in range(times * self.alive["newer"] * (not self.shut["newer"])):
+            if not self.shut["newer"]:
+                self.read_newer()
+
+    @precondition(lambda self: self.alive["older"])
+    @rule()
+    def a_client_comes(self) -> None:
+        self.names += 1
+        self.all[self.names] = self.at_older[self.names] = b"x" * (self.names % 3) * (PIECE - 1)
+
+    @precondition(lambda self: self.alive["older"] and not self.retired)
+    @rule()
+    def told_to_end(self) -> None:
+        self.done_older(self.older.end())
+
+    @precondition(lambda self: self.alive["older"] and self.older.at is Giving.FOLLOWED and self.at_older)
+    @rule(many=st.booleans())
+    def give(self, many: bool) -> None:
+        for name in list(self.at_older)[:None if many else 1]:
+            if self.older.at is Giving.FOLLOWED:
+                self.done_older(self.older.give(Item(name, self.at_older.pop(name))))
+
+    @precondition(lambda self: self.alive["older"] and self.retired)
+    @rule()
+    def an_attempt_ends(self) -> None:
+        if self.older.at is Giving.FOLLOWED:
+            self.told.append(len(self.told) + 1)
+            self.done_older(self.older.tell(Settled(len(self.told), 0, Outcome.OK)))
+
+    @precondition(lambda self: self.alive["older"])
+    @rule()
+    def waits_no_longer(self) -> None:
+        self.done_older(self.older.late())
+
+    @precondition(lambda self: self.alive["older"] and self.retired and not self.at_older)
+    @rule()
+    def nothing_left(self) -> None:
+        self.done_older(self.older.done())
+
+    @rule(side=st.sampled_from(["older", "newer"]))
+    def breaks(self, side: str) -> None:
+        if self.alive[side]:
+            self.give_up(side)
+
+    @rule(side=st.sampled_from(["older", "newer"]))
+    def dies(self, side: str) -> None:
+        if sum(self.alive.values()) == 2:
+            self.alive[side] = False
+            if side == "older":
+                self.to_older.clear()
+                self.at_older.clear()
+            else:
+                self.to_newer.clear()
+                self.at_newer.clear()
+                self.owns = False
+
+    # ---- what must hold
+
+    @invariant()
+    def one_owner_of_every_budget(self) -> None:
+        if self.alive["older"]:  # else the newer one is it, or will be once it asks anew
+            # it is not retired, or the newer one has it, or its Took is still to be read, or the state to come
+            on_the_way = self.older.at is Giving.GIVING
+            assert (not self.retired) + self.owns == 1 or (on_the_way and not self.owns)
+
+    @invariant()
+    def one_owner_of_every_connection(self) -> None:
+        assert not self.at_older.keys() & self.at_newer.keys()
+        if all(self.alive.values()):
+            on_the_way = {item.connection for item in (*self.older._sent, *self.older._waiting)}
+            assert self.at_older.keys() | self.at_newer.keys() | on_the_way == self.all.keys()
+        for name, data in (*self.at_older.items(), *self.at_newer.items()):
+            assert data == self.all[name]
+
+    @invariant()
+    def reports_come_once_and_in_order(self) -> None:
+        assert self.heard == self.told[:len(self.heard)]
+
+    @invariant()
+    def few_descriptors_are_held_twice(self) -> None:
+        assert len(self.older._sent) <= WINDOW
+
+
+TestUpgrade = Upgrade.TestCase
+
+
+def test_an_upgrade_that_goes_well_leaves_nothing_behind() -> None:
+    u = Upgrade()
+    for _ in range(100):
+        u.a_client_comes()
+    u.older_reads(9)
+    u.newer_reads(9)
+    assert u.newer.at is Taking.STANDBY and not u.owns
+    u.told_to_end()
+    u.newer_reads(9)
+    assert u.owns and u.retired
+    u.older_reads(9)
+    u.give(True)
+    u.an_attempt_ends()
+    u.nothing_left()
+    for _ in range(50):
+        u.newer_reads(12)
+        u.older_reads(12)
+    assert u.older.at is Giving.OVER and u.newer.at is Taking.ALONE
+    assert u.at_newer == u.all and u.heard == [1] and not u.at_older
+
+
+CALLS = {
+    Giving.ALONE: [], Giving.AWAITED: [Hello()], Giving.GIVING: [Hello(), "end"],
+    Giving.FOLLOWED: [Hello(), "end", Took()]}
+
+
+@pytest.mark.parametrize(("at", "message"), [
+    (Giving.ALONE, Took()), (Giving.ALONE, Wish(True)), (Giving.AWAITED, Took()), (Giving.AWAITED, Ack(0)),
+    (Giving.AWAITED, Done()), (Giving.GIVING, Ack(0)), (Giving.GIVING, Welcome()), (Giving.FOLLOWED, Took()),
+    (Giving.FOLLOWED, Ack(1)), (Giving.FOLLOWED, State(b"")), (Giving.ALONE, "new")])
+def test_a_predecessor_takes_no_message_that_makes_no_sense(at: Giving, message: Any) -> None:
+    older = Predecessor()
+    for call in CALLS[at]:
+        older.end() if call == "end" else older.receive("link", call)
+    assert older.at is at
+    with pytest.raises(ProtocolError):
+        older.receive("link", message)
+
+
+@pytest.mark.parametrize(("before", "message"), [
+    ([], State(b"")), ([], Done()), ([Welcome()], Welcome()), ([Welcome()], Passed()), ([Welcome()], StateEnd(1, 0)),
+    ([Welcome(), State(b"ab")], StateEnd(2, 0)), ([Welcome(), *[State(b"x" * PIECE)] * (MAX_STATE // PIECE)], State(b"x")),
+    ([Welcome(), StateEnd(0, checksum(b"")), "said"], Passed()), ([Welcome(), StateEnd(0, checksum(b"")), "said"], State(b"")),
+    ([Welcome(), StateEnd(0, checksum(b"")), "said", Bytes(b"ab")], Passed(3))])
+def test_a_successor_takes_no_message_that_makes_no_sense(before: list[Any], message: Any) -> None:
+    newer = Successor()
+    for step in before:
+        newer.said(True) if step == "said" else newer.receive(step)
+    with pytest.raises(ProtocolError):
+        newer.receive(message, 7 if message == Passed(3) else None)
+
+
+@pytest.mark.parametrize(("hello", "answer"), [
+    (Hello(VERSION + 5, VERSION), Welcome(VERSION)), (Hello(VERSION, 1), Welcome(VERSION)),
+    (Hello(VERSION + 5, VERSION + 1), Sorry), (Hello(1, 1), Sorry)])
+def test_the_newest_version_that_both_speak_is_spoken(hello: Hello, answer: Any) -> None:
+    (sent, *_) = Predecessor().receive("link", hello)
+    assert isinstance(sent, roles.Send)
+    assert sent.message == answer or isinstance(sent.message, answer)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_message_or_are_named_as_none(packet: bytes) -> None:
+    try:
+        assert decode(packet) is not None
+    except ProtocolError as error:
+        assert str(error)
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -1,18 +1,25 @@
-"""The daemon: an ingress behind a listening socket, from its start to the end of its drain."""
+"""The daemon: an ingress behind a listening socket, from its start to the end of its drain.
+
+With a socket that the platform holds there may be another process at it: see troutdock/handover/roles.py for
+who owns what, of which this is both hosts, Estate for the older process and Heir for the newer one.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import socket
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
-from tamarindfold.interface import Settings
+from tamarindfold.interface import Settings, Settled
+from troutdock import __version__
 from troutdock.address import Address
-from troutdock.handover.channel import Giver, Taker
+from troutdock.handover.link import Giver, Taker
+from troutdock.handover.protocol import ProtocolError, pack_state, unpack_state
+from troutdock.handover.roles import Item
 from troutdock.http.bodies import Budget
 from troutdock.http.request import Reader
 from troutdock.http.server import Server
@@ -40,37 +47,56 @@
         if config.listen is None:
             raise ValueError("a daemon needs an address to listen on")
         self.address = self._listen = config.listen
-        away = self._server.availability
         self._door = Door({
-            b"/control/ready": (b"GET", lambda: self._server.healthy),
-            b"/control/out-of-service": (b"POST", lambda: away.take_out(time.monotonic())),
-            b"/control/in-service": (b"POST", lambda: away.put_back(time.monotonic()))})
+            b"/control/ready": (b"GET", lambda: self.ready),
+            b"/control/out-of-service": (b"POST", lambda: self._in_service(False)),
+            b"/control/in-service": (b"POST", lambda: self._in_service(True))})
         self.management: Address | None = None
         self._retiring: asyncio.TimerHandle | None = None
         self._giver: Giver | None = None
+        self._taker: Taker | None = None
+        self._state: Any = None  # that was given to a successor, until that has said that it uses it
+        self._wish: bool | None = None  # of this process's operator while it stood by: out of service, or in
+        self._out_of_service = False  # the predecessor was
+
+    @property
+    def ready(self) -> bool:
+        """It takes clients, or will the moment its predecessor is told to end, which takes them till then."""
+        standing_by = self._taker is not None and self._taker.standing_by
+        return self.ingress.engine.ready if standing_by else self._server.healthy
+
+    def _in_service(self, wanted: bool) -> bool:
+        """An operator's call, which counts for whoever takes the clients."""
+        if self._taker is not None and self._taker.standing_by:
+            self._wish = not wanted
+            self._taker.wish(not wanted)
+            return True
+        away, now = self._server.availability, time.monotonic()
+        return away.put_back(now) if wanted else away.take_out(now)
 
     async def run(self, stop: asyncio.Event, serving: Callable[[Service], object]) -> None:
         """Serve until stop is set, then drain; serving is told once the door is open."""
         if self._config.management is not None:
             self.management = await self._door.listen(self._config.management)
         await self.ingress.start()
-        taker = await self._take_over() if self._listener is not None else None
-        self.address = self._server.listen(self._listen, self._listener)
-        if taker is not None:
-            taker.follow()
+        self.address = self._server.listen(self._listen, self._listener, hold=True)
         if self._listener is not None:
-            self._await_heir()
+            self._taker = Taker(self, __version__)
+        if self._taker is None or not await self._taker.ask(tempfile.gettempdir()):
+            self.own(False)
         sweep = Background("the sweep of clients", self._sweep)
         serving(self)
-        log.info("%s: serving on %s:%d, %d backends known", self._config.name, *self.address,
-                 len(self._config.known[1]))
         await stop.wait()
         log.info("draining")
-        await self._server.drain()
+        if self._giver is not None:
+            await self._giver.end()
+        taker = self._taker
+        if taker is not None and (taker.standing_by or taker.superseded):
+            taker.close()  # it was never the owner of anything
+        await self._server.drain(lambda: taker is not None and not taker.over.is_set())
         self._door.close()
         if self._giver is not None:
-            while self._giver.giving:
-                await asyncio.sleep(0.005)
+            await self._giver.finish()
             self._giver.close()
         if taker is not None:
             taker.close()
@@ -78,37 +104,74 @@
         await self.ingress.close()
         log.info("drained")
 
-    async def _take_over(self) -> Taker:
-        """Ask a predecessor at the same socket for what it knows; without one there is nothing to take."""
-        taker = Taker(self._server.adopt)
-        state = await taker.take(tempfile.gettempdir())
-        if state is not None:
-            try:
-                self.ingress.engine.take_over(json.loads(state))
-                log.info("took over from a predecessor: %d bytes of state", len(state))
-            except ValueError as error:
-                log.warning("the predecessor's state is of no use: %s", error)
-        return taker
+    # ---- as a successor (Heir)
 
-    def _await_heir(self) -> None:
+    def take(self, state: bytes, out_of_service: bool) -> tuple[str, tuple[str, ...]]:
+        """Go on from a state: why that can't be, or nothing; and what of it is not known here."""
+        self._out_of_service = out_of_service
         try:
-            self._giver = Giver(tempfile.gettempdir(), self._hand_over, self._leave, self._take_back)
-        except OSError as error:
-            log.warning("a successor can take nothing over: %s", error)
+            left_out = self.ingress.engine.take_over(unpack_state(state))
+        except (ProtocolError, ValueError) as error:
+            log.warning("the predecessor's state is of no use: %s", error)
+            return str(error), ()
+        log.info("took over from a predecessor: %d bytes of state", len(state))
+        if left_out:
+            log.warning("not known here, or not there: %s", ", ".join(left_out))
+        return "", tuple(name for name in left_out if not name.startswith("no "))
+
+    def own(self, alone: bool) -> None:
+        """All is this process's from now on: take clients. alone: without knowing what was spent before."""
+        if alone:
+            self.ingress.engine.take_back()
+        self._server.open()
+        if self._out_of_service if self._wish is None else self._wish:
+            self._server.availability.take_out(time.monotonic())
+        if self._listener is not None:
+            try:
+                self._giver = Giver(tempfile.gettempdir(), self, __version__)
+            except OSError as error:
+                log.warning("a successor can take nothing over: %s", error)
+        log.info("%s: serving on %s:%d, %d backends known", self._config.name, *self.address,
+                 len(self._config.known[1]))
+
+    def adopt(self, item: Item) -> None:
+        """A client's connection, with what has come on it."""
+        self._server.adopt(item)
+
+    def settle(self, settled: Settled) -> None:
+        """What an attempt of the predecessor has come to."""
+        self.ingress.engine.settle(settled)
 
-    def _hand_over(self) -> bytes:
+    def ended(self) -> None:
+        """The predecessor has ended."""
+        self.ingress.engine.predecessor_ended()
+
+    # ---- as a predecessor (Estate)
+
+    def retire(self) -> tuple[bytes, bool]:
+        """Let nothing new in: the state, and whether an operator has taken the ingress out of service."""
         log.info("a successor takes over")
-        return json.dumps(self.ingress.engine.hand_over()).encode()
+        assert self._giver is not None
+        self._server.leave()
+        self._state = self.ingress.engine.hand_over(self._giver.tell)
+        return pack_state(self._state), self._server.availability.state is State.OUT_OF_SERVICE
 
-    def _leave(self) -> None:
+    def owned(self) -> None:
+        """The successor is the owner; connections may be given."""
         assert self._giver is not None
+        self._state = None
         self._server.leave_to(self._giver)
 
-    def _take_back(self) -> None:
-        if self._server.availability.state is not State.ENDING:
-            log.warning("the successor has ended; going on")
-        self._server.take_back()
-        self.ingress.engine.take_back()
+    def lost(self, untouched: bool, returned: Iterable[Item]) -> None:
+        """There is no successor any more; connections that nobody has are back."""
+        log.warning("the successor has ended; what is left is this process's again")
+        self.ingress.engine.take_back(self._state if untouched else None)
+        self._state = None
+        self._server.take_back(returned)
+
+    def wished(self, out_of_service: bool) -> None:
+        """The successor's operator takes the ingress out of service, or puts it back."""
+        self._in_service(not out_of_service)
 
     def reload(self, config: Config) -> None:
         """Go over to a new configuration as a whole; ConfigError if it is not whole, and nothing changes."""
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -26,7 +26,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, cast
@@ -35,7 +35,8 @@
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
     Action, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Event, Fail, FleetUpdate,
-    Outcome, Refuse, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, TimerFired,
+    Outcome, Refuse, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, Settled,
+    TimerFired,
 )
 from troutdock.engine.attempt import Attempt
 from troutdock.engine.ports import (
@@ -103,6 +104,7 @@
         self._last_number = 0
         self._transports: list[Transport] = []  # by pool
         self._counter: Counter | None = None
+        self._tell: Callable[[Settled], None] | None = None  # who has this gateway's state
 
     def add_pool(self, transport: Transport) -> int:
         """Backends that this transport reaches: the number of their pool, the first one 0."""
@@ -120,17 +122,32 @@
 
     # ---- events
 
-    def hand_over(self) -> dict[str, Any]:
-        """What the decision module knows, for a successor; from here on nothing new is let in."""
+    def hand_over(self, tell: Callable[[Settled], None]) -> dict[str, Any]:
+        """What the decision module knows, for a successor; from here on nothing new is let in.
+
+        tell: what comes of the attempts that are out, each in its turn.
+        """
+        self._tell = tell
         return snapshot.take(self._gateway)
 
-    def take_back(self) -> None:
-        """The successor has died: go on."""
-        snapshot.resume(self._gateway)
+    def take_back(self, untouched: Any = None) -> None:
+        """The other process has died: go on. untouched: the state, where it is known that nobody used it."""
+        snapshot.resume(self._gateway, self.clock.now(), untouched)
+
+    def take_over(self, state: Any) -> list[str]:
+        """Go on from a predecessor's state: what of it is not known here.
+
+        ValueError if it is none, and nothing is taken from it.
+        """
+        return snapshot.restore(self._gateway, state)
+
+    def settle(self, settled: Settled) -> None:
+        """What an attempt of the predecessor has come to."""
+        self._handle(settled)
 
-    def take_over(self, state: Any) -> None:
-        """Go on from a predecessor's state; ValueError if it is none, and nothing is taken from it."""
-        snapshot.restore(self._gateway, state)
+    def predecessor_ended(self) -> None:
+        """What the predecessor has not told is not waited for."""
+        snapshot.forget(self._gateway)
 
     def reconfigure(self, settings: Settings) -> None:
         """Other settings from now on, made by merged_settings; open calls keep the rules they came under."""
@@ -356,6 +373,9 @@
                 if self._counter is None:
                     raise RuntimeError("the gateway calls a counter that the settings do not name")
                 self._counter.call(name, amount, ttl_ms)
+            case Settled():
+                if self._tell is not None:
+                    self._tell(action)
             case _:
                 raise NotImplementedError(f"the gateway asks for {action}")
 
--- a/troutdock/http/bodies.py
+++ b/troutdock/http/bodies.py
@@ -66,6 +66,16 @@
             self._since = now
         self._fresh, self._started, self._body_since = False, True, 0.0
 
+    def older(self, seconds: float) -> None:
+        """The message that is coming began that much earlier, at another process."""
+        self._since -= seconds
+        if self._body_since:
+            self._body_since -= seconds
+
+    def began(self) -> float:
+        """When the message that is coming began, or its body if that is coming."""
+        return self._body_since or self._since
+
     def head_done(self, now: float) -> None:
         """The head is whole; from now on the body is measured."""
         self._body_since = now
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -9,14 +9,16 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from math import inf
-from typing import Any, Protocol, cast
+from typing import Any, NamedTuple, Protocol, cast
 
 import httptools
 
 from troutdock.address import Address
 from troutdock.engine import BadRequest, Call, Engine, Failure, Flow
+from troutdock.handover.roles import Item
 from troutdock.http.age import has_left, received_ago_ms
 from troutdock.http.bodies import SMALL, Budget, Pace
 from troutdock.http.request import Reader
@@ -74,8 +76,8 @@
         self.held = held  # bytes of the budget for bodies, until the final answer
         self.connection, self.keep_alive = connection, keep_alive
         server = connection.server
-        self.arrived = server.engine.clock.now()
-        if server.lag.notable and connection.sock is not None:
+        self.arrived = connection.arrived_ms or server.engine.clock.now()
+        if connection.arrived_ms == 0 and server.lag.notable and connection.sock is not None:
             self.arrived -= received_ago_ms(connection.sock)  # the client's time runs from then on
         self.call: Call | None = None
         self.reply: bytes | None = None
@@ -166,7 +168,7 @@
 
     def _head(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> bytes:
         server = self.connection.server
-        if (server.availability.sends_away and server.heir is None) or server.crowded:
+        if (server.availability.sends_away and not server.leaving) or server.crowded:
             self.keep_alive = False
         lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))]
         lines += [b"%b: %b" % pair for pair in headers]
@@ -176,12 +178,39 @@
         return b"\r\n".join(lines)
 
 
+class Whole(NamedTuple):
+    """A request that has come whole while this process leaves its clients to a successor."""
+
+    method: bytes
+    url: bytes
+    version: str
+    headers: list[tuple[bytes, bytes]]
+    body: list[bytes]
+    held: int  # bytes of the budget for bodies
+    arrived_ms: float
+
+    def bytes(self) -> bytes:
+        """The message, with a length in place of a coding (RFC 9112, 6.3)."""
+        dropped = (b"content-length", b"transfer-encoding", b"expect", b"trailer")
+        body = b"".join(self.body)
+        lines = [b"%b %b HTTP/%b" % (self.method, self.url, self.version.encode())]
+        lines += [b"%b: %b" % (name, value) for name, value in self.headers if name not in dropped]
+        lines += [b"content-length: %d" % len(body), b"", body]
+        return b"\r\n".join(lines)
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection of a client; requests may come in pieces, in a row, or chunked."""
 
-    def __init__(self, server: Server, sock: socket.socket | None = None, adopted: bool = False) -> None:
+    def __init__(self, server: Server, sock: socket.socket | None = None, item: Item | None = None) -> None:
         self.server, self.sock = server, sock
-        self.adopted = adopted  # from a predecessor, between two requests
+        self.item = item  # what a predecessor has passed on, and what came to it
+        self.arrived_ms = 0.0  # while messages are read that came whole to the predecessor: when
+        # what has come of the message that is not whole, up to its body: None if it is not known
+        self._raw: list[bytes] | None = []
+        self._raw_body = 0  # bytes of the body that are in there
+        self._completed = 0  # messages
+        self._wholes: list[Whole] = []  # for a successor
         self._parser: Any = httptools.HttpRequestParser(self)  # None once the connection is lost
         self._exchanges: deque[Exchange] = deque()
         self._received = 0  # bytes of the message that is coming
@@ -190,7 +219,7 @@
         self.deaf = False  # the connection is about to end: nothing more is taken
         self._paused = self._full = False  # reading, and what is written and not taken
         self._transport: asyncio.Transport
-        self._pace = Pace(time.monotonic(), not adopted)
+        self._pace = Pace(time.monotonic(), item is None)
         self._held = 0  # bytes of the budget for bodies that the message which is coming has
         self._continue = False  # the client waits to be told that its body is wanted
         self._clear()
@@ -198,11 +227,20 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is none by name
         self.server.admit(self)
+        if (item := self.item) is not None and item.data:
+            now = self.server.engine.clock.now()
+            self.arrived_ms = item.arrived_ms
+            self.data_received(item.data)
+            self.arrived_ms = 0.0
+            if self.begun and item.began_ms:
+                self._pace.older(max(0.0, now - item.began_ms) / 1000)
+        self.item = None
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return  # only drained: see _end
         self._received += len(data)
+        completed = self._completed
         try:
             self._parser.feed_data(data)
             if self._in_head and self._received > MAX_HEAD:
@@ -216,16 +254,32 @@
         except httptools.HttpParserError as error:
             cause = error.__context__
             self._reject(cause.status if isinstance(cause, BadRequest) else 400)
+        self._remember(data, completed)
+        if self._wholes and self.server.heir is not None:
+            self.server.pass_on_soon(self)
         if not self.deaf:
             if self._exchanges:
                 self.server.waiting.drop(self)
                 self.server.idle.drop(self)
             elif self.begun and self.server.idle.drop(self):
                 self.server.waiting.add(self)
-        if len(self._exchanges) >= MAX_PIPELINED and not self._paused:
+        if len(self._exchanges) + len(self._wholes) >= MAX_PIPELINED and not self._paused:
             self._paused = True
             self._transport.pause_reading()
 
+    def _remember(self, data: bytes, completed: int) -> None:
+        """Keep what has come of a message that is not whole, so that it can be passed on; mostly nothing."""
+        if not self.begun:
+            if self._raw != []:
+                self._raw = []
+        elif self._completed != completed:
+            self._raw = None  # it began somewhere in this read, behind another one
+        elif self._raw is not None and (not self._raw_body or self._in_head):
+            self._raw.append(data)
+            self._raw_body = self._size
+            if not self._in_head and any(name == b"transfer-encoding" for name, _ in self._headers):
+                self._raw = None
+
     def _reject(self, status: int) -> None:
         """What came is no request, and where the next would begin can't be told."""
         if not self.deaf:
@@ -257,6 +311,8 @@
         self.deaf = True
         self.server.forget(self)
         self._drop_body()
+        self.server.bodies.give(sum(whole.held for whole in self._wholes))
+        self._wholes.clear()
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
             exchange.release()
@@ -294,21 +350,41 @@
                 self.server.waiting.add(self)
             else:
                 self.server.rest(self)
+            if self.server.heir is not None:
+                self.server.pass_on_soon(self)
         if self._paused and len(self._exchanges) < MAX_PIPELINED:
             self._paused = False
             self._transport.resume_reading()
 
-    def pass_on(self) -> socket.socket | None:
+    def pass_on(self) -> Item | None:
         """Leave the connection to another process; None: something of it is here that would be lost."""
-        if self.sock is None or self.deaf or self.begun or self._exchanges:
-            return None
-        if self._received or self.unwritten:
+        if self.sock is None or self.deaf or self._exchanges or self.unwritten:
             return None
+        if self.begun and self._raw is None:
+            return None  # until it is whole
+        data = b"".join(whole.bytes() for whole in self._wholes)
+        began_ms = 0.0
+        if self.begun and self._raw is not None:
+            data += b"".join(self._raw) + b"".join(self._body)[self._raw_body:]
+            began_ms = self.server.engine.clock.now() - 1000 * (time.monotonic() - self._pace.began())
+        arrived_ms = self._wholes[0].arrived_ms if self._wholes else 0.0
         self._transport.pause_reading()
-        passed = self.sock.dup()
+        item = Item(self.sock.dup(), data, began_ms, arrived_ms)
         self.deaf = True
         self._transport.abort()  # closes this process's descriptor only
-        return passed
+        return item
+
+    def take_back(self) -> None:
+        """There is no successor for what has come whole: it is this process's."""
+        wholes, self._wholes = self._wholes, []
+        for whole in wholes:
+            keep = self._keeps(whole.headers, whole.version)
+            exchange = Exchange(self, keep, whole.held, whole.version != "1.0")
+            self._exchanges.append(exchange)
+            self._ask(exchange, whole.method, whole.url, whole.headers, whole.body)
+            if not keep:
+                self.deaf = True
+                break
 
     def first(self) -> Exchange | None:
         """The request whose answer is the next to go out."""
@@ -431,37 +507,59 @@
 
     def on_message_complete(self) -> None:
         self._received, self.begun = 0, False
+        self._completed += 1
+        self._raw_body = 0
         if self.deaf:
             return
+        method, version = self._parser.get_method(), self._parser.get_http_version()
+        held, self._held, self._continue = self._held, 0, False
+        if self.server.leaving:
+            now = self.server.engine.clock.now()
+            whole = Whole(method, self._url, version, self._headers, self._body, held, now)
+            self._wholes.append(whole)
+            self._body = []
+            return
         stays = self._parser.should_keep_alive() and not self._parser.should_upgrade()
-        exchange = Exchange(self, stays, self._held, self._parser.get_http_version() != "1.0")
-        self._held, self._continue = 0, False
+        exchange = Exchange(self, stays, held, version != "1.0")
         self._exchanges.append(exchange)
-        method = self._parser.get_method()
         if not exchange.keep_alive:
             self.deaf = True
-        if path_of(self._url) == b"/healthz" and method == b"GET":
-            exchange.answer(200 if self.server.healthy else 503)
+        body, self._body = self._body, []
+        self._ask(exchange, method, self._url, self._headers, body)
+
+    @staticmethod
+    def _keeps(headers: list[tuple[bytes, bytes]], version: str) -> bool:
+        """Whether the client goes on with the connection (RFC 9112, 9.3)."""
+        options = b",".join(value.lower() for name, value in headers if name == b"connection")
+        named = [option.strip() for option in options.split(b",")]
+        if b"close" in named or b"upgrade" in named:
+            return False
+        return version != "1.0" or b"keep-alive" in named
+
+    def _ask(self, exchange: Exchange, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]],
+             body: list[bytes]) -> None:
+        """A request has come whole: it is answered here, or goes to the engine."""
+        path, server = path_of(url), self.server
+        if path == b"/healthz" and method == b"GET":
+            exchange.answer(200 if server.healthy else 503)
             return
-        waited_ms = self.server.engine.clock.now() - exchange.arrived
+        waited_ms = server.engine.clock.now() - exchange.arrived
         if waited_ms > NOTICED_MS:
-            damping = self.server.damping
+            damping = server.damping
             if damping.drop_departed and self.sock is not None and has_left(self.sock):
                 self._exchanges.pop()  # the connection's end, unread yet, withdraws those before it
                 return
             if damping.turn_away:
-                waited = self.server.reader.waited(path_of(self._url), self._headers, waited_ms)
-                if waited is not None and self.server.engine.turn_away(waited, exchange):
+                waited = server.reader.waited(path, headers, waited_ms)
+                if waited is not None and server.engine.turn_away(waited, exchange):
                     return
         try:
-            request = self.server.reader.read(method, path_of(self._url), self._headers, self._body)
-            self._body = []
-            call = self.server.engine.arrive(request, exchange)
+            request = server.reader.read(method, path, headers, body)
+            call = server.engine.arrive(request, exchange)
             if exchange.reply is None:
                 exchange.call = call
         except BadRequest as error:
             exchange.answer(error.status, error.reason.encode(), ((b"Content-Type", b"text/plain"),))
-            return
 
 
 class Line:
@@ -501,8 +599,8 @@
 class Heir(Protocol):
     """A successor of this process."""
 
-    def give(self, sock: socket.socket) -> bool:
-        """Pass a connection on."""
+    def give(self, item: Item) -> bool:
+        """Pass a connection on; false: there is nobody to take it."""
 
 
 class Server:
@@ -530,22 +628,29 @@
         self._accepting = False
         self._shut = False  # the drain is about to close the listener
         self._inherited = False
+        self.leaving = False  # what comes whole is another's to answer, who may not be there yet
         self.heir: Heir | None = None  # who takes the clients' connections
         self._listener: socket.socket
 
-    def listen(self, address: Address, inherited: socket.socket | None = None) -> Address:
+    def listen(self, address: Address, inherited: socket.socket | None = None, hold: bool = False) -> Address:
         """Open the door; gives the address, with the port that the system chose for 0.
 
-        inherited: a listening socket that others hold too, in place of one of its own.
+        inherited: a listening socket that others hold too, in place of one of its own. hold: another process
+        takes the clients at it, until open().
         """
         self._inherited = inherited is not None
         self._listener = inherited or socket.create_server(address, backlog=BACKLOG)
         self._listener.setblocking(False)
-        self._resume()
-        self.availability.opened(time.monotonic())
+        if not hold:
+            self.open()
         host, port = self._listener.getsockname()[:2]
         return host, port
 
+    def open(self) -> None:
+        """Take clients."""
+        self._resume()
+        self.availability.opened(time.monotonic())
+
     @property
     def healthy(self) -> bool:
         """What the front is told: this process wants clients, and knows of a backend."""
@@ -554,7 +659,7 @@
     # The loop's own server can't pause accepting: it would take connections past the bound on sockets.
 
     def _resume(self) -> None:
-        if not self._accepting and self.heir is None and self._listener.fileno() >= 0:
+        if not self._accepting and not self.leaving and self._listener.fileno() >= 0:
             self._accepting = True
             self._loop.add_reader(self._listener.fileno(), self._accept)
 
@@ -592,15 +697,15 @@
             self._last_accept = time.monotonic()
             self._begin(sock)
 
-    def _begin(self, sock: socket.socket, adopted: bool = False) -> None:
+    def _begin(self, sock: socket.socket, item: Item | None = None) -> None:
         self._coming += 1
-        task = self._loop.create_task(self._start(sock, adopted))
+        task = self._loop.create_task(self._start(sock, item))
         self._starting.add(task)
         task.add_done_callback(self._starting.discard)
 
-    async def _start(self, sock: socket.socket, adopted: bool) -> None:
+    async def _start(self, sock: socket.socket, item: Item | None) -> None:
         try:
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, sock, adopted), sock)
+            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, sock, item), sock)
         except OSError:
             sock.close()
             self._coming -= 1
@@ -641,7 +746,10 @@
         self._coming -= 1
         self.engine.tally.connections += 1
         self._clients[connection] = None
-        (self.idle if connection.adopted else self.waiting).add(connection)
+        between = connection.item is not None and not connection.item.data
+        (self.idle if between else self.waiting).add(connection)
+        if self.heir is not None:
+            self.pass_on_soon(connection)
 
     def forget(self, connection: ClientConnection) -> None:
         """A connection has ended."""
@@ -685,37 +793,48 @@
     def rest(self, connection: ClientConnection) -> None:
         """A connection has its answer, and stands between requests."""
         self.idle.add(connection)
-        if self.heir is not None:
-            self._loop.call_soon(self._pass_on, connection)
 
-    def adopt(self, sock: socket.socket) -> None:
+    def adopt(self, item: Item) -> None:
         """A predecessor passes a client's connection on; there is a place for it, or it is closed."""
+        sock: socket.socket = item.connection
         if len(self._clients) + self._coming >= self._max_clients:
             sock.close()
             return
         sock.setblocking(False)
-        self._begin(sock, adopted=True)
+        self._begin(sock, item)
 
-    def leave_to(self, heir: Heir) -> None:
-        """A successor takes the clients: accept nobody, and pass on what stands between requests."""
-        self.heir = heir
+    def leave(self) -> None:
+        """What comes from now on is a successor's: accept nobody, ask the engine nothing new."""
+        self.leaving = True
         self._shut = True
         self._pause()
-        for connection in [*self.idle.since(), *self.waiting.since()]:
+
+    def leave_to(self, heir: Heir) -> None:
+        """The successor takes the clients: pass on what owes no answer."""
+        self.heir = heir
+        for connection in list(self._clients):
             self._pass_on(connection)
 
-    def take_back(self) -> None:
-        """The successor has died."""
-        self.heir = None
+    def take_back(self, returned: Iterable[Item] = ()) -> None:
+        """The successor has died: what was left for it is this process's again."""
+        self.heir, self.leaving = None, False
         if self.availability.state is not State.ENDING:
             self._shut = False
             self._resume()
+        for item in returned:
+            self.adopt(item)
+        for connection in list(self._clients):
+            connection.take_back()
+
+    def pass_on_soon(self, connection: ClientConnection) -> None:
+        """Pass it on if nothing of it is here any more; not within its own calls."""
+        self._loop.call_soon(self._pass_on, connection)
 
     def _pass_on(self, connection: ClientConnection) -> None:
         if self.heir is None or connection not in self._clients:
             return
-        if (sock := connection.pass_on()) is not None and not self.heir.give(sock):
-            sock.close()
+        if (item := connection.pass_on()) is not None and not self.heir.give(item):
+            item.connection.close()
 
     def _close(self, connection: ClientConnection) -> None:
         self.idle.drop(connection)
@@ -726,9 +845,11 @@
         while (late := self.idle.first(before)) is not None:
             self._close(late)
 
-    async def drain(self) -> None:
+    async def drain(self, more: Callable[[], bool] = lambda: False) -> None:
         """Take what still comes, finish all that was taken, then close the door.
 
+        more: connections may still come by adopt.
+
         An inherited socket is left at once: what stands at it is its next holder's, and nothing is lost.
         """
         began = time.monotonic()
@@ -739,11 +860,11 @@
             await self._take_the_last(began)
         self._pause()
         self._listener.close()
-        while self._coming or self._clients:
+        while self._coming or self._clients or more():
             await asyncio.sleep(0.02)
             now = time.monotonic()
             if self.heir is not None:
-                for connection in [*self.idle.since(), *self.waiting.since()]:
+                for connection in list(self._clients):  # one that had not read its last answer, say
                     self._pass_on(connection)
             elif self._inherited:
                 self._send_away(now)
