--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -21,7 +21,8 @@
 # ---- tuned constants
 RAISE, FALL = 1.5, 0.5  # a dry slice grows by half (design page); an over-used one loses half of its growth
 ROOM, SPENT = 0.9, 0.25  # of the burst: a fuller shared store has room for all; an emptier one is over-used
-RESERVE = 0.1  # of the slice's burst: what only marked retries may take
+RESERVE = 0.02  # of the slice's burst: what only marked retries may take that can still be in time
+TARDY = 0.6  # of it: what a marked retry that is past its aim leaves to those that can still be in time
 NO_SHOW_MS = 2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
 QUEUE_MS = 10_000.0  # the longest virtual queue: clients that return at once would lengthen it without end
 FORGET_MS = 20_000.0  # a customer unseen for so long is forgotten, or later if its stores take longer to fill
@@ -353,20 +354,27 @@
         if self.retired:
             return self.refuse(now, call)
         room = not plan.ceiling_rate or customer.cap_tokens >= event.units
-        kept = RESERVE * plan.burst * customer.share if marks and not event.retry else 0.0
+        # guards a customer near its quota: else those that return too late take all that fills, and nobody is
+        # served in time. A retry's time left is what is left of its whole deadline (seen; a client that asks
+        # with less would be taken for older than it is).
+        age = call.cls.deadline_ms - event.time_left_ms
+        tardy = marks and event.retry and age + call.work > call.cls.aim_ms
+        full = plan.burst * customer.share
+        kept = full * (TARDY if tardy else RESERVE if marks and not event.retry else 0.0)
         if room and (not plan.rate or customer.tokens - kept >= event.units):
             return self.admit(now, call, True)
         customer.dry = True
         if room and plan.over_worth > plan.over_cost:
-            return self.admit(now, call, plan.burst * customer.share < event.units)
-        if not room or self.random.random() >= customer.room(now, self.asking):
+            return self.admit(now, call, full < event.units)
+        left = tardy and customer.tokens < full  # what there is is for others
+        if not room or left or self.random.random() >= customer.room(now, self.asking):
             return self.refuse(now, call)  # told to be empty
         answered_by = now + self.settings.counter_timeout_ms + 2 * self.settings.tick_ms
         free = self.counting and self.random.random() * CROWDED < self.asking
         if free and customer.debt + event.units > 0 and answered_by < call.give_up:
             customer.debt += event.units  # hold the try and ask for its units, one try a lump
             return self.settle(now, customer, call)
-        if self.counting or customer.tokens >= plan.burst * customer.share:
+        if self.counting or customer.tokens >= full:
             return self.admit(now, call, True)  # a full bucket does, or a large request never would pass
         self.refuse(now, call)
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -35,10 +35,38 @@
     return g, c
 
 
-def test_new_tries_leave_the_reserve_to_marked_retries() -> None:
-    for tokens, retry, kind in ((1.3, False, Refuse), (1.3, True, Send), (1.5, False, Send)):
-        g, _ = bucket(tokens, marks_retry=True)  # the reserve is a tenth of 4 units
-        assert only(g.handle(START, request(1, width=4, retry=retry)), kind)
+@pytest.mark.parametrize(("tokens", "retry", "age_ms", "kind"), [
+    (1.05, False, 0, Refuse), (1.1, False, 0, Send),  # new ones leave a little to retries that can be in time
+    (1.05, True, 1000, Send), (0.95, True, 1000, Refuse),  # which may empty the bucket
+    (1.1, True, 2000, Refuse), (3.3, True, 2000, Refuse), (3.5, True, 2000, Send)])  # the late take what is spare
+def test_who_may_take_the_last_of_a_bucket(tokens: float, retry: bool, age_ms: float, kind: type) -> None:
+    """Of 4 units: a class with an aim of 1.5 s and a deadline of 6 s."""
+    g, _ = bucket(tokens, marks_retry=True)
+    assert only(g.handle(START, request(1, width=4, retry=retry, left=6000.0 - age_ms)), kind)
+
+
+def test_a_customer_beyond_its_quota_is_served_in_time_though_all_that_are_refused_return() -> None:
+    """Three times what the quota gives, and every refused try comes back once, after its aim.
+
+    What is served in time is near to what the quota gives; with the late ones first it was next to nothing.
+    """
+    g, _ = bucket(4.0, marks_retry=True)
+    due: list[tuple[float, int]] = []
+    in_time = late = number = 0
+    for step in range(1, 1201):  # a minute: a new try each 50 ms, where the slice gives one each 500 ms
+        now = START + 50.0 * step
+        tries = [(False, 0.0)]
+        while due and due[0][0] <= now:
+            tries.insert(0, (True, now - due.pop(0)[1]))
+        for retry, age in tries:
+            number += 1
+            actions = g.handle(now, request(number, width=4, retry=retry, left=6000.0 - age))
+            if sent := only(actions, Send):
+                g.handle(now, ended(number, sent[0].backend, took=20.0))
+                in_time, late = in_time + (not retry), late + retry
+            elif not retry:
+                due.append((now + 1600.0, now))
+    assert in_time >= 110 and late <= 12
 
 
 def test_a_full_bucket_lets_a_larger_request_pass_where_nothing_can_be_asked() -> None:
