A handover whose partner ends after any message, on real sockets; two races mended

Tests on socket pairs of each step found two faults: a predecessor that had said all before its successor was asked whether it was welcomed was taken for none (the successor would have opened twice), and a full queue at the socket was taken for no predecessor. Both are mended; nonsense, other users, silence, other versions and late answers are in tables.

--- /dev/null
+++ b/tests/handover/test_link.py
@@ -0,0 +1,286 @@
+"""The handover on real sockets: a partner that ends after any message, talks nonsense, says nothing, or is another's."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from loopback import run, until
+
+from tamarindfold.interface import Outcome, Settled
+from troutdock.handover import link
+from troutdock.handover.link import NAME, Giver, Taker
+from troutdock.handover.protocol import (
+    PIECE, Ack, Bytes, Done, Hello, Message, Passed, Sorry, State, StateEnd, Told, Took, Welcome, Wish, checksum, decode, encode,
+)
+from troutdock.handover.roles import Giving, Item, Taking
+
+STATE = os.urandom(3 * PIECE + 7)
+
+
+class Older:
+    """Everything that a predecessor's process does, as far as it can be seen here."""
+
+    def __init__(self, folder: Path, state: bytes = STATE) -> None:
+        self.state, self.log, self.returned = state, [], []
+        self.giver = Giver(str(folder), self, "old")
+
+    def retire(self) -> tuple[bytes, bool]:
+        self.log.append("retired")
+        return self.state, True
+
+    def owned(self) -> None:
+        self.log.append("owned")
+
+    def lost(self, untouched: bool, returned: Iterable[Item]) -> None:
+        self.log.append("untouched" if untouched else "lost")
+        self.returned += returned
+
+    def wished(self, out_of_service: bool) -> None:
+        self.log.append(("wished", out_of_service))
+
+
+class Newer:
+    """And a successor's."""
+
+    def __init__(self) -> None:
+        self.log: list[Any] = []
+        self.items: list[Item] = []
+        self.taker = Taker(self, "new")
+
+    def take(self, state: bytes, out_of_service: bool) -> tuple[str, tuple[str, ...]]:
+        self.log.append((state, out_of_service))
+        return "", ()
+
+    def own(self, alone: bool) -> None:
+        self.log.append("alone" if alone else "owner")
+
+    def adopt(self, item: Item) -> None:
+        self.items.append(item)
+
+    def settle(self, settled: Settled) -> None:
+        self.log.append(settled)
+
+    def ended(self) -> None:
+        self.log.append("ended")
+
+
+async def packet(sock: socket.socket) -> Message | str | None:
+    data = await asyncio.get_running_loop().sock_recv(sock, PIECE + 512)
+    return decode(data) if data else None
+
+
+def dialled(folder: Path) -> socket.socket:
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
+    with link._short(str(folder)) as path:
+        sock.connect(path)
+    return sock
+
+
+def test_a_whole_upgrade_over_a_long_path(tmp_path: Path) -> None:
+    async def test() -> None:
+        folder = tmp_path / ("x" * 100) / ("y" * 100)  # longer than such a socket's name may be
+        folder.mkdir(parents=True)
+        older, newer = Older(folder), Newer()
+        assert await newer.taker.ask(str(folder))
+        newer.taker.wish(True)
+        await until(lambda: older.log == [("wished", True)])
+        assert newer.log == [] and newer.taker.standing_by
+        assert await older.giver.end()
+        assert newer.log == [(STATE, True), "owner"] and older.log[1:] == ["retired", "owned"]
+        ends = [socket.socketpair() for _ in range(300)]
+        for n, (_, given) in enumerate(ends):
+            assert older.giver.give(Item(given, b"x" * (n % 3 * 40_000), float(n), 2.0))
+        for n in range(5):
+            older.giver.tell(Settled(n, 0, Outcome.OK))
+        await older.giver.finish()
+        await until(newer.taker.over.is_set)
+        assert [told.request for told in newer.log[2:-1]] == [0, 1, 2, 3, 4] and newer.log[-1] == "ended"
+        for n, ((mine, _), item) in enumerate(zip(ends, newer.items, strict=True)):
+            mine.send(b"x")
+            assert item.connection.recv(1) == b"x" and (len(item.data), item.began_ms) == (n % 3 * 40_000, n)
+            mine.close()
+            item.connection.close()
+        assert not older.giver.give(Item(None)) and older.returned == []
+        older.giver.close()
+    run(test())
+
+
+# what a successor says, in turn, and what the older process is left as when it ends after so many of them
+SAYS: list[tuple[Message, list[Any]]] = [
+    (Hello(), []), (Wish(False), [("wished", False)]), (Took(), ["retired", "owned"]), (Ack(1), []), (Ack(3), [])]
+LEFT = [[], [], ["retired", "untouched"], ["lost"], ["lost"], ["lost"]]
+RETURNED = [0, 0, 0, 3, 2, 0]
+
+
+@pytest.mark.parametrize("said", range(len(SAYS) + 1))
+def test_a_successor_that_ends_after_any_message_leaves_nothing_unowned(tmp_path: Path, said: int) -> None:
+    async def test() -> None:
+        older, expected = Older(tmp_path), []
+        sock = dialled(tmp_path)
+        ending, pairs = None, [socket.socketpair() for _ in range(3)]
+        for message, logged in SAYS[:said]:
+            expected += logged
+            if isinstance(message, Took):
+                ending = asyncio.create_task(older.giver.end())
+                while not isinstance(await packet(sock), StateEnd):
+                    pass
+            sock.send(encode(message))
+            await until(lambda: older.log == expected)
+            if isinstance(message, Took):
+                for _, given in pairs:
+                    older.giver.give(Item(given, b"begun"))
+        if said == 2:  # it ends with the state on its way
+            ending = asyncio.create_task(older.giver.end())
+            await until(lambda: older.log[-1:] == ["retired"])
+        await asyncio.sleep(0.01)
+        sock.close()
+        await until(lambda: older.giver.role.at is Giving.ALONE)
+        if ending is not None:
+            assert await ending == (said > 2)
+        assert older.log == [*expected, *LEFT[said]]
+        assert [item.data for item in older.returned] == [b"begun"] * RETURNED[said]
+        assert all(item.connection.fileno() >= 0 for item in older.returned)
+        older.giver.close()
+        for mine, given in pairs:
+            mine.close()
+            given.close()
+    run(test())
+
+
+GIVES: list[Message] = [
+    Welcome(), State(STATE[:PIECE]), State(STATE[PIECE:2 * PIECE]), State(STATE[2 * PIECE:3 * PIECE]), State(STATE[3 * PIECE:]),
+    StateEnd(len(STATE), checksum(STATE)), Told(Settled(1, 0)), Bytes(b"be"), Bytes(b"gun"), Passed(5), Done()]
+
+
+@pytest.mark.parametrize("said", range(len(GIVES) + 1))
+def test_a_predecessor_that_ends_after_any_message_leaves_its_successor_in_service(tmp_path: Path, said: int) -> None:
+    async def test() -> None:
+        listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
+        listener.bind(str(tmp_path / NAME))
+        listener.listen()
+        newer = Newer()
+        asking = asyncio.create_task(newer.taker.ask(str(tmp_path)))
+        sock, _ = await asyncio.get_running_loop().sock_accept(listener)
+        assert isinstance(await packet(sock), Hello)
+        other, given = socket.socketpair()
+        for message in GIVES[:said]:
+            if isinstance(message, Passed):
+                socket.send_fds(sock, [encode(message)], [given.fileno()])
+            else:
+                sock.send(encode(message))
+        if said:
+            assert await asking
+            await until(lambda: newer.taker.role.at is (Taking.STANDBY if said < 6 else Taking.OWNER if said < 11 else Taking.ALONE))
+        listener.close()
+        sock.close()
+        await until(newer.taker.over.is_set)
+        if said == 0:
+            assert not await asking and newer.log == []  # it is told that there is none
+        elif said < 6:
+            await until(lambda: newer.log == ["alone"])
+        else:
+            assert newer.log == [(STATE, False), "owner", *[Settled(1, 0)] * (said > 6), "ended"]
+        assert [item.data for item in newer.items] == [b"begun"] * (said > 9)
+        newer.taker.close()
+        for end in (other, given, *(item.connection for item in newer.items)):
+            end.close()
+    run(test())
+
+
+@pytest.mark.parametrize("nonsense", [b"take", b"\xff" * 2000, msgspec.msgpack.encode({"type": "took"}), encode(Took()), encode(Done())])
+def test_nonsense_ends_its_link_and_nothing_else(tmp_path: Path, nonsense: bytes) -> None:
+    async def test() -> None:
+        older = Older(tmp_path)
+        others = [dialled(tmp_path) for _ in range(link.MOST_LINKS)]  # that say nothing
+        bad = dialled(tmp_path)
+        bad.send(nonsense)
+        assert await packet(bad) is None
+        newer = Newer()
+        assert await newer.taker.ask(str(tmp_path))
+        assert await older.giver.end() and newer.log[-1] == "owner"
+        late = Newer()
+        asking = asyncio.create_task(late.taker.ask(str(tmp_path)))
+        await asyncio.sleep(0.05)
+        older.giver.close()  # as its process does at its end
+        newer.taker.close()
+        assert not await asking and late.log == []
+        for sock in [*others, bad]:
+            sock.close()
+    run(test())
+
+
+def test_a_successor_that_does_not_take_the_state_in_time_is_not_the_owner(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It wakes up later, and asks anew; then it is."""
+    monkeypatch.setattr(link, "ANSWER_S", 0.05)
+
+    async def test() -> None:
+        older, newer = Older(tmp_path), Newer()
+        assert await newer.taker.ask(str(tmp_path))
+        asyncio.get_running_loop().remove_reader(newer.taker._wire.sock.fileno())  # it hangs
+        assert not await older.giver.end()
+        assert older.log == ["retired", "untouched"]
+        newer.taker._wire._read()
+        await until(lambda: newer.log[-1:] == ["owner"])
+        assert older.log[2:] == ["retired", "owned"]
+        older.giver.close()
+    run(test())
+
+
+def test_a_predecessor_that_says_nothing_is_waited_for_no_longer_than_told(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(link, "ANSWER_S", 0.05)
+
+    async def test() -> None:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as mute:
+            mute.bind(str(tmp_path / NAME))
+            mute.listen()
+            newer = Newer()
+            assert not await newer.taker.ask(str(tmp_path)) and newer.taker.over.is_set()
+        assert not await Newer().taker.ask(str(tmp_path))  # nobody listens there any more
+        assert not await Newer().taker.ask(str(tmp_path / "nowhere"))
+    run(test())
+
+
+def test_a_process_of_another_user_is_turned_away_at_either_end(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        older = Older(tmp_path)
+        monkeypatch.setattr(link, "_same_user", lambda sock: False)
+        assert not await Newer().taker.ask(str(tmp_path))
+        sock = dialled(tmp_path)
+        assert await packet(sock) is None
+        sock.close()
+        older.giver.close()
+    run(test())
+
+
+def test_a_message_of_a_newer_program_is_left_out(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        older = Older(tmp_path)
+        sock = dialled(tmp_path)
+        sock.send(msgspec.msgpack.encode({"type": "hello", "version": 7, "oldest": 2, "mood": "good"}))
+        assert await packet(sock) == Welcome(2, "old")
+        sock.send(msgspec.msgpack.encode({"type": "weather", "sky": "blue"}))
+        sock.send(encode(Wish(True)))
+        await until(lambda: older.log == [("wished", True)])
+        sock.close()
+        older.giver.close()
+    run(test())
+    assert "'weather' is of a newer program" in caplog.text
+
+
+def test_versions_without_a_common_one_part_with_a_reason(tmp_path: Path) -> None:
+    async def test() -> None:
+        older = Older(tmp_path)
+        sock = dialled(tmp_path)
+        sock.send(encode(Hello(9, 8)))
+        assert await packet(sock) == Sorry("no common version with 8 to 9")
+        assert await packet(sock) is None
+        sock.close()
+        older.giver.close()
+    run(test())
--- a/troutdock/handover/link.py
+++ b/troutdock/handover/link.py
@@ -180,7 +180,7 @@
                     os.unlink(path)  # a predecessor's, which has given all to this one, or has died
                 self._listener.bind(path)
                 os.chmod(path, 0o600)
-            self._listener.listen(4)
+            self._listener.listen(2 * MOST_LINKS)
         except OSError:
             self._listener.close()
             raise
@@ -329,6 +329,7 @@
         self._wire: Wire | None = None
         self._folder = ""
         self._answered = asyncio.Event()
+        self._welcome = False
         self._anew: asyncio.Task[None] | None = None
         self.over = asyncio.Event()  # nothing more comes
 
@@ -344,7 +345,7 @@
 
     async def ask(self, folder: str) -> bool:
         """Find a predecessor and stand by; false where there is none, and then this process is the owner."""
-        self._folder = folder
+        self._folder, self._welcome = folder, False
         try:
             async with asyncio.timeout(ANSWER_S):
                 while not await self._ask(folder):
@@ -355,28 +356,31 @@
             pass
         except OSError as error:
             log.warning("handover: nothing is taken over: %s", error)
-        waits = self.role.at not in (Taking.ALONE, Taking.ASKING)
-        if not waits:
+        if not self._welcome:
             self.over.set()
-        return waits
+        return self._welcome  # whatever has come since
 
     async def _ask(self, folder: str) -> bool:
         """True once there is an answer that stays; OSError if nobody listens."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_NONBLOCK)
         try:
             with _short(folder) as path:
-                sock.connect(path)
+                sock.connect(path)  # at once, or there is no room in its queue
             if not _same_user(sock):
                 raise PermissionError("a process of another user listens there")
+        except BlockingIOError:
+            sock.close()
+            return False
         except OSError:
             sock.close()
             raise
         self.role = Successor(self.role.program)
         self._answered.clear()
+        self._welcome = False
         self._wire = Wire(sock, self._received, self._was_cut)
         self._do(self.role.ask())
         await self._answered.wait()
-        return self.role.at is not Taking.ALONE
+        return self._welcome
 
     async def _ask_anew(self) -> None:
         """The link has broken: the predecessor may live all the same."""
@@ -426,6 +430,7 @@
                         self._wire.close()
                 case roles.Ready(program):
                     log.info("standing by for a predecessor%s", f", {program}" if program else "")
+                    self._welcome = True
                     self._answered.set()
                 case roles.Take(state, out_of_service):
                     self._do(self.role.took(*self._heir.take(state, out_of_service)))
@@ -438,6 +443,7 @@
                     self._anew = self._loop.create_task(self._ask_anew())
                 case roles.Superseded():
                     log.warning("another successor stands by: this process takes no clients")
+                    self._welcome = True  # it is not needed, but it is not the owner either
                     self._answered.set()
                     self.over.set()
                 case roles.Adopt(item):
