--- a/tests/handover/test_handover.py
+++ b/tests/handover/test_handover.py
@@ -226,6 +226,35 @@
     run(test())
 
 
+def test_a_budget_for_bodies_is_one_for_both_processes(tmp_path: Path) -> None:
+    """2 MiB of it: while the older one has a body of 1.5 out, the newer one has room for half of one."""
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def waits(peer: Peer, data: bytes, writer: asyncio.StreamWriter) -> None:
+            if len(data) > 1_000_000:
+                await release.wait()
+            await answer()(peer, data, writer)
+
+        async with upgrade(tmp_path, waits) as tier:
+            tier.extra["limits"] = {"sockets": 256, "memory_mb": 32}
+            await tier.start()
+            first, second = [Client(*await asyncio.open_connection(*tier.address)) for _ in range(2)]
+            first.writer.write(posted(1, "x" * 1_500_000))
+            await until(lambda: len(tier.node.requests) == 1)
+            await tier.start()
+            ending = asyncio.create_task(tier.end(0))
+            await until(lambda: "took over" in (tmp_path / "1.log").read_text())
+            assert (await second.ask(posted(2, "y" * 400_000)))[0] != 503
+            assert (await second.ask(posted(3, "y" * 800_000)))[0] == 503
+            second.writer.close()
+            release.set()
+            assert (await first.answer())[0] == 200 and await ending == 0
+            assert (await first.ask(posted(4, "x" * 900_000)))[0] == 200
+            first.writer.close()
+    run(test())
+
+
 def test_both_told_to_end_at_once_end(tmp_path: Path) -> None:
     async def test() -> None:
         async with upgrade(tmp_path) as tier:
--- a/tests/handover/test_link.py
+++ b/tests/handover/test_link.py
@@ -17,7 +17,7 @@
 from troutdock.handover import link
 from troutdock.handover.link import NAME, Giver, Taker
 from troutdock.handover.protocol import (
-    PIECE, Ack, Bytes, Done, Hello, Message, Passed, Sorry, State, StateEnd, Told, Took, Welcome, Wish, checksum, decode, encode,
+    PIECE, Ack, Bytes, Done, Hello, Holds, Message, Passed, Sorry, State, StateEnd, Told, Took, Welcome, Wish, checksum, decode, encode,
 )
 from troutdock.handover.roles import Giving, Item, Taking
 
@@ -31,9 +31,9 @@
         self.state, self.log, self.returned = state, [], []
         self.giver = Giver(str(folder), self, "old")
 
-    def retire(self) -> tuple[bytes, bool]:
+    def retire(self) -> tuple[bytes, Holds]:
         self.log.append("retired")
-        return self.state, True
+        return self.state, Holds(True, 7, 1)
 
     def owned(self) -> None:
         self.log.append("owned")
@@ -54,8 +54,8 @@
         self.items: list[Item] = []
         self.taker = Taker(self, "new")
 
-    def take(self, state: bytes, out_of_service: bool) -> tuple[str, tuple[str, ...]]:
-        self.log.append((state, out_of_service))
+    def take(self, state: bytes, holds: Holds) -> tuple[str, tuple[str, ...]]:
+        self.log.append((state, holds))
         return "", ()
 
     def own(self, alone: bool) -> None:
@@ -93,7 +93,7 @@
         await until(lambda: older.log == [("wished", True)])
         assert newer.log == [] and newer.taker.standing_by
         assert await older.giver.end()
-        assert newer.log == [(STATE, True), "owner"] and older.log[1:] == ["retired", "owned"]
+        assert newer.log == [(STATE, Holds(True, 7, 1)), "owner"] and older.log[1:] == ["retired", "owned"]
         ends = [socket.socketpair() for _ in range(300)]
         for n, (_, given) in enumerate(ends):
             assert older.giver.give(Item(given, b"x" * (n % 3 * 40_000), float(n), 2.0))
@@ -186,7 +186,7 @@
         elif said < 6:
             await until(lambda: newer.log == ["alone"])
         else:
-            assert newer.log == [(STATE, False), "owner", *[Settled(1, 0)] * (said > 6), "ended"]
+            assert newer.log == [(STATE, Holds()), "owner", *[Settled(1, 0)] * (said > 6), "ended"]
         assert [item.data for item in newer.items] == [b"begun"] * (said > 9)
         newer.taker.close()
         for end in (other, given, *(item.connection for item in newer.items)):
--- a/tests/handover/test_roles.py
+++ b/tests/handover/test_roles.py
@@ -13,7 +13,7 @@
 from tamarindfold.interface import Outcome, Settled
 from troutdock.handover import roles
 from troutdock.handover.protocol import (
-    MAX_STATE, PIECE, VERSION, WINDOW, Ack, Bytes, Done, Hello, Passed, ProtocolError, Sorry, State, StateEnd, Took,
+    MAX_STATE, PIECE, VERSION, WINDOW, Ack, Bytes, Done, Hello, Holds, Passed, ProtocolError, Sorry, State, StateEnd, Took,
     Welcome, Wish, checksum, decode, encode,
 )
 from troutdock.handover.roles import Giving, Item, Predecessor, Successor, Taking
@@ -73,7 +73,7 @@
                         self.to_newer.append((decode(encode(message)), connection))
                 case roles.Retire():
                     self.retired = True
-                    self.done_older(self.older.state(STATE, False))
+                    self.done_older(self.older.state(STATE, Holds()))
                 case roles.Owned(error, _):
                     assert not error and self.owns
                 case roles.Given(connection):
--- a/tests/management/test_door.py
+++ b/tests/management/test_door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any
 
 import pytest
@@ -86,6 +87,38 @@
     run(test())
 
 
+def test_calls_are_answered_beside_callers_that_hold_on_and_under_all_the_load_that_clients_make() -> None:
+    """More half calls than there are places, each back at once when it is cut; clients that never pause."""
+    async def test() -> None:
+        async with managed(answer()) as w:
+            over = asyncio.Event()
+
+            async def holds() -> None:
+                while not over.is_set():
+                    reader, writer = await asyncio.open_connection(*w.service.management)
+                    writer.write(b"GET /control/ready HTTP/1.1\r\nHost: ")
+                    with contextlib.suppress(OSError):
+                        await reader.read()  # to the cut, which is the door's or the test's end
+                    writer.close()
+
+            async def asks(number: int) -> None:
+                client = await w.client()
+                while not over.is_set():
+                    number += 100
+                    assert (await client.ask(request("ledger-read", number)))[0] in (200, 429)
+
+            busy = [asyncio.create_task(holds()) for _ in range(2 * CALLERS)]
+            busy += [asyncio.create_task(asks(n)) for n in range(16)]
+            for turn in range(40):
+                path, status = (("out-of-service", 200), ("in-service", 200))[turn % 2]
+                assert await asyncio.wait_for(call(w, "POST", f"/control/{path}"), 1.0) == status
+                assert await asyncio.wait_for(call(w, "GET", "/control/ready"), 1.0) == (503, 200)[turn % 2]
+            over.set()
+            for task in busy:
+                task.cancel()
+    run(test())
+
+
 def test_a_caller_that_never_ends_its_call_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
         async with managed(answer()) as w:
--- a/tests/peers/loopback.py
+++ b/tests/peers/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Sequence
@@ -41,6 +42,17 @@
 Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
 
 
+def free_address() -> tuple[str, int]:
+    """Where a process of this test may listen: of tests that run at once each process has loopback addresses of its own.
+
+    A port that was free a moment ago on an address that all share may be another test's by the time it is listened on.
+    """
+    pid = os.getpid()
+    with socket.create_server((f"127.{100 + pid // 250 % 100}.{pid % 250}.1", 0)) as free:
+        host, port = free.getsockname()
+        return str(host), int(port)
+
+
 def run(test: Coroutine[Any, Any, None]) -> None:
     """Run a test on the loop that the ingress uses; a test that hangs fails."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/tests/peers/upgrade.py
+++ b/tests/peers/upgrade.py
@@ -11,7 +11,7 @@
 import sys
 from pathlib import Path
 
-from loopback import SETTINGS, Client, Peer, target
+from loopback import SETTINGS, Client, Peer, free_address, target
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -28,8 +28,7 @@
     async def start(self) -> int:
         """One more process; returns its number once it says that it takes clients."""
         number = len(self.children)
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            management = free.getsockname()
+        management = free_address()
         config = {"name": "n0", "listen": "{}:{}".format(*self.address), "discovery": "127.0.0.1:9", "seed": f"{number:x}",
                   "limits": {"sockets": 256}, "settings": SETTINGS,
                   "known": {"rev": 5, "all": True, "targets": [target(self.node, "s-0")]}, **self.extra}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,30 +6,24 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
-from loopback import SETTINGS, Client, Peer, answer, request, run, target
+from loopback import SETTINGS, Client, Peer, answer, free_address, request, run, target
 
 ROOT = Path(__file__).parent.parent
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 class Tier:
     """Ingresses as processes over the same nodes."""
 
     def __init__(self, nodes: list[Peer], where: Path, count: int = 2, **extra: Any) -> None:
-        self.ports = [free_port() for _ in range(count)]
+        self.addresses = [free_address() for _ in range(count)]
         self.files = []
-        for n, port in enumerate(self.ports):
-            config = {"name": f"n{n}", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "07",
+        for n, address in enumerate(self.addresses):
+            config = {"name": f"n{n}", "listen": "{}:{}".format(*address), "discovery": "127.0.0.1:9", "seed": "07",
                       "limits": {"sockets": 128}, "settings": SETTINGS | {"balancers": count, "index": n},
                       "known": {"rev": 5, "all": True, "targets": [target(b, f"s-{i}") for i, b in enumerate(nodes)]}, **extra}
             (where / f"{n}.json").write_text(json.dumps(config))
@@ -39,10 +33,10 @@
     async def start(self) -> None:
         self.children = [subprocess.Popen([sys.executable, "-m", "troutdock"], cwd=ROOT, stderr=subprocess.DEVNULL,
                                           env={**os.environ, "RELAY_CONFIG": str(file)}) for file in self.files]
-        for port in self.ports:
+        for address in self.addresses:
             while True:
                 try:
-                    (await asyncio.open_connection("127.0.0.1", port))[1].close()
+                    (await asyncio.open_connection(*address))[1].close()
                     break
                 except OSError:
                     await asyncio.sleep(0.02)
@@ -52,8 +46,8 @@
             child.send_signal(signum)
         return [child.wait(20) for child in self.children]
 
-    async def ask(self, port: int, data: bytes) -> int:
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    async def ask(self, address: tuple[str, int], data: bytes) -> int:
+        reader, writer = await asyncio.open_connection(*address)
         try:
             return (await Client(reader, writer).ask(data))[0]
         finally:
@@ -63,7 +57,7 @@
 async def comes_back(tier: Tier, number: int) -> None:
     """A client that asks again until it is served, and is told nothing but to come back."""
     for turn in range(50):
-        told = await tier.ask(tier.ports[(number + turn) % 2], request("ledger-read", 1000 * turn + number + 1,
+        told = await tier.ask(tier.addresses[(number + turn) % 2], request("ledger-read", 1000 * turn + number + 1,
                                                                        Account=f"{number:016x}"))
         if told == 200:
             return
@@ -89,7 +83,7 @@
         tier = Tier(nodes, tmp_path)
         await tier.start()
         try:
-            first = asyncio.create_task(tier.ask(tier.ports[0], request("payment-book", 1)))
+            first = asyncio.create_task(tier.ask(tier.addresses[0], request("payment-book", 1)))
             await held.wait()
             assert set(tier.end()) == {-signal.SIGKILL}
             await asyncio.wait({first})
@@ -98,7 +92,7 @@
                 node.script = answer()
             await tier.start()
             retry = request("payment-book", 2, Client_Retry="1")
-            assert await tier.ask(tier.ports[0], retry) not in (200, 429)
+            assert await tier.ask(tier.addresses[0], retry) not in (200, 429)
             assert list(books.values()) == [1]
             await asyncio.gather(*(comes_back(tier, n) for n in range(40)))  # all at once
         finally:
@@ -120,10 +114,10 @@
             await tier.start()
             silent = []
             try:
-                for port in tier.ports:
-                    silent += [await asyncio.open_connection("127.0.0.1", port) for _ in range(100)]
-                for port in tier.ports:
-                    assert [await tier.ask(port, request("ledger-read", n)) for n in range(3)] == [200] * 3
+                for address in tier.addresses:
+                    silent += [await asyncio.open_connection(*address) for _ in range(100)]
+                for address in tier.addresses:
+                    assert [await tier.ask(address, request("ledger-read", n)) for n in range(3)] == [200] * 3
             finally:
                 for _, writer in silent:
                     writer.close()
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -18,7 +18,7 @@
 from troutdock import __version__
 from troutdock.address import Address
 from troutdock.handover.link import Giver, Taker
-from troutdock.handover.protocol import ProtocolError, pack_state, unpack_state
+from troutdock.handover.protocol import Holds, ProtocolError, pack_state, unpack_state
 from troutdock.handover.roles import Item
 from troutdock.http.bodies import Budget
 from troutdock.http.request import Reader
@@ -57,7 +57,7 @@
         self._taker: Taker | None = None
         self._state: Any = None  # that was given to a successor, until that has said that it uses it
         self._wish: bool | None = None  # of this process's operator while it stood by: out of service, or in
-        self._out_of_service = False  # the predecessor was
+        self._holds = Holds()  # what the predecessor has
 
     @property
     def ready(self) -> bool:
@@ -106,9 +106,9 @@
 
     # ---- as a successor (Heir)
 
-    def take(self, state: bytes, out_of_service: bool) -> tuple[str, tuple[str, ...]]:
+    def take(self, state: bytes, holds: Holds) -> tuple[str, tuple[str, ...]]:
         """Go on from a state: why that can't be, or nothing; and what of it is not known here."""
-        self._out_of_service = out_of_service
+        self._holds = holds
         try:
             left_out = self.ingress.engine.take_over(unpack_state(state))
         except (ProtocolError, ValueError) as error:
@@ -124,7 +124,8 @@
         if alone:
             self.ingress.engine.take_back()
         self._server.open()
-        if self._out_of_service if self._wish is None else self._wish:
+        self._server.share(self._holds.bodies, self._holds.streams)
+        if self._holds.out_of_service if self._wish is None else self._wish:
             self._server.availability.take_out(time.monotonic())
         if self._listener is not None:
             try:
@@ -143,18 +144,20 @@
         self.ingress.engine.settle(settled)
 
     def ended(self) -> None:
-        """The predecessor has ended."""
+        """The predecessor has ended, and what it held of the budgets is free."""
+        self._server.share(-self._holds.bodies, -self._holds.streams)
         self.ingress.engine.predecessor_ended()
 
     # ---- as a predecessor (Estate)
 
-    def retire(self) -> tuple[bytes, bool]:
-        """Let nothing new in: the state, and whether an operator has taken the ingress out of service."""
+    def retire(self) -> tuple[bytes, Holds]:
+        """Let nothing new in: the state, and what this process holds to its end."""
         log.info("a successor takes over")
         assert self._giver is not None
         self._server.leave()
         self._state = self.ingress.engine.hand_over(self._giver.tell)
-        return pack_state(self._state), self._server.availability.state is State.OUT_OF_SERVICE
+        out = self._server.availability.state is State.OUT_OF_SERVICE
+        return pack_state(self._state), Holds(out, *self._server.held_to_the_end())
 
     def owned(self) -> None:
         """The successor is the owner; connections may be given."""
--- a/troutdock/handover/link.py
+++ b/troutdock/handover/link.py
@@ -18,7 +18,7 @@
 
 from tamarindfold.interface import Settled
 from troutdock.handover import roles
-from troutdock.handover.protocol import ANSWER_S, MAX_PACKET, Message, ProtocolError, decode, encode
+from troutdock.handover.protocol import ANSWER_S, MAX_PACKET, Holds, Message, ProtocolError, decode, encode
 from troutdock.handover.roles import Effect, Giving, Item, Predecessor, Successor, Taking
 
 log = logging.getLogger("troutdock")
@@ -149,8 +149,8 @@
 class Estate(Protocol):
     """What a predecessor gives away; the daemon is one."""
 
-    def retire(self) -> tuple[bytes, bool]:
-        """Let nothing new in: the state, and whether an operator has taken the ingress out of service."""
+    def retire(self) -> tuple[bytes, Holds]:
+        """Let nothing new in: the state, and what this process holds to its end."""
 
     def owned(self) -> None:
         """The successor is the owner; connections may be given."""
@@ -303,7 +303,7 @@
 class Heir(Protocol):
     """Who takes over; the daemon is one."""
 
-    def take(self, state: bytes, out_of_service: bool) -> tuple[str, tuple[str, ...]]:
+    def take(self, state: bytes, holds: Holds) -> tuple[str, tuple[str, ...]]:
         """Go on from a state: why that can't be, or nothing; and what of it is not known here."""
 
     def own(self, alone: bool) -> None:
@@ -432,8 +432,8 @@
                     log.info("standing by for a predecessor%s", f", {program}" if program else "")
                     self._welcome = True
                     self._answered.set()
-                case roles.Take(state, out_of_service):
-                    self._do(self.role.took(*self._heir.take(state, out_of_service)))
+                case roles.Take(state, holds):
+                    self._do(self.role.took(*self._heir.take(state, holds)))
                 case roles.Owner():
                     self._heir.own(False)
                 case roles.Alone(why):
--- a/troutdock/handover/protocol.py
+++ b/troutdock/handover/protocol.py
@@ -101,12 +101,24 @@
     data: bytes
 
 
+class Holds(msgspec.Struct, frozen=True):
+    """What else the older process has, which the successor is to know.
+
+    out_of_service: an operator has taken the ingress out. bodies, streams: bytes of clients' long bodies and
+    long answers that it holds to its end, of budgets that are one for both.
+    """
+
+    out_of_service: bool = False
+    bodies: int = 0
+    streams: int = 0
+
+
 class StateEnd(msgspec.Struct, frozen=True, tag="state_end"):
-    """The state is whole: its length, its CRC-32, and whether an operator has taken the ingress out."""
+    """The state is whole: its length, its CRC-32, and what else the older process has."""
 
     length: int
     checksum: int
-    out_of_service: bool = False
+    holds: Holds = Holds()
 
 
 class Bytes(msgspec.Struct, frozen=True, tag="bytes"):
--- a/troutdock/handover/roles.py
+++ b/troutdock/handover/roles.py
@@ -46,8 +46,8 @@
 
 from tamarindfold.interface import Settled
 from troutdock.handover.protocol import (
-    MAX_MESSAGE, MAX_STATE, PIECE, WINDOW, Ack, Bytes, Done, Hello, Message, Passed, ProtocolError, Sorry,
-    State, StateEnd, Told, Took, Welcome, Wish, checksum, common_version,
+    MAX_MESSAGE, MAX_STATE, PIECE, WINDOW, Ack, Bytes, Done, Hello, Holds, Message, Passed, ProtocolError,
+    Sorry, State, StateEnd, Told, Took, Welcome, Wish, checksum, common_version,
 )
 
 Link = Hashable
@@ -134,7 +134,7 @@
     """Go on from this state, and answer with Successor.took."""
 
     data: bytes
-    out_of_service: bool
+    holds: Holds
 
 
 @dataclass(frozen=True, slots=True)
@@ -267,10 +267,10 @@
         self.at = Giving.GIVING
         return [Retire()]
 
-    def state(self, data: bytes, out_of_service: bool) -> list[Effect]:
+    def state(self, data: bytes, holds: Holds) -> list[Effect]:
         """The state, in answer to Retire."""
         pieces = [Send(self.heir, State(data[at:at + PIECE])) for at in range(0, len(data), PIECE)]
-        return [*pieces, Send(self.heir, StateEnd(len(data), checksum(data), out_of_service))]
+        return [*pieces, Send(self.heir, StateEnd(len(data), checksum(data), holds))]
 
     def late(self) -> list[Effect]:
         """The successor has not said in time that it has the state."""
@@ -367,13 +367,13 @@
                 if len(self._state) > MAX_STATE:
                     raise ProtocolError(f"a state of over {MAX_STATE} bytes")
                 return []
-            case StateEnd(length, check, out) if self.at is Taking.STANDBY:
+            case StateEnd(length, check, holds) if self.at is Taking.STANDBY:
                 data = bytes(self._state)
                 self._state.clear()
                 if (length, check) != (len(data), checksum(data)):
                     raise ProtocolError(f"the state is not whole: {len(data)} of {length} bytes")
                 self.at = Taking.TAKING
-                return [Take(data, out)]
+                return [Take(data, holds)]
             case Bytes(data) if self.at is Taking.OWNER:
                 self._bytes += data
                 if len(self._bytes) > MAX_MESSAGE:
--- a/troutdock/http/server.py
+++ b/troutdock/http/server.py
@@ -386,6 +386,11 @@
                 self.deaf = True
                 break
 
+    @property
+    def held(self) -> int:
+        """Bytes of the budget for bodies that requests with answers to come have."""
+        return sum(exchange.held for exchange in self._exchanges)
+
     def first(self) -> Exchange | None:
         """The request whose answer is the next to go out."""
         return self._exchanges[0] if self._exchanges else None
@@ -826,6 +831,15 @@
         for connection in list(self._clients):
             connection.take_back()
 
+    def share(self, body_bytes: int, streams: int) -> None:
+        """So much of the budgets is a predecessor's until it has ended; below nought: it is free again."""
+        self.bodies.held += body_bytes
+        self.streams += streams
+
+    def held_to_the_end(self) -> tuple[int, int]:
+        """Bytes of bodies of requests that owe an answer, and long answers under way: they don't go over."""
+        return sum(connection.held for connection in self._clients), self.streams
+
     def pass_on_soon(self, connection: ClientConnection) -> None:
         """Pass it on if nothing of it is here any more; not within its own calls."""
         self._loop.call_soon(self._pass_on, connection)
