The front of HTTP/1.1 in four files: exchange, connection, places, listener

Need: server.py had grown to 950 lines that held one request's exchange, a client's connection and the listener with its places and its end; a second protocol on the listener needs the third apart from the first two.

Change: moved as they were, with the listener's lines of connections as its theory of operation. A test that looked for exchanges by the name of their class met those of another test's host once tests ran several at a time; it looks for the class itself.

--- a/tests/http/test_bodies.py
+++ b/tests/http/test_bodies.py
@@ -13,7 +13,7 @@
 
 from troutdock.http import bodies
 from troutdock.http.bodies import GRACE_S, HEAD_S, PACE, SILENT_S, Budget, Pace, budget_for
-from troutdock.http.server import path_of
+from troutdock.http.connection import path_of
 from troutdock.platform.config import read_config
 
 LONG = "0123456789abcdef" * 20_000  # 320,000 bytes
--- a/tests/http/test_cycles.py
+++ b/tests/http/test_cycles.py
@@ -13,7 +13,8 @@
 from troutdock.engine import Call
 from troutdock.http.request import HttpRequest
 from troutdock.http.response import ResponseReader
-from troutdock.http.server import ClientConnection, Exchange
+from troutdock.http.connection import ClientConnection
+from troutdock.http.exchange import Exchange
 from troutdock.http.transport import Connection, HttpAttempt
 
 KINDS = (Call, HttpAttempt, Exchange, ClientConnection, Connection, ResponseReader, HttpRequest)
--- a/tests/http/test_long_answers.py
+++ b/tests/http/test_long_answers.py
@@ -7,11 +7,11 @@
 import gc
 import resource
 import socket
-from typing import Any
 
 import pytest
 from loopback import Client, Peer, Script, answer, request, run, until, world
 
+from troutdock.http.exchange import Exchange
 from troutdock.http import transport as transport_module
 from troutdock.http.bodies import streams_for
 from troutdock.http.response import MAX_STREAMED, STREAM_FROM
@@ -192,7 +192,7 @@
 
 
 def test_a_client_that_takes_nothing_for_long_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("troutdock.http.server.STUCK_S", 0.2)
+    monkeypatch.setattr("troutdock.http.listener.STUCK_S", 0.2)
     monkeypatch.setattr("troutdock.daemon.SWEEP_S", 0.05)
 
     async def test() -> None:
@@ -210,7 +210,7 @@
 
 def test_a_last_answer_is_read_in_the_clients_own_time(monkeypatch: pytest.MonkeyPatch) -> None:
     """The wait for a client's last bytes used to cut off what it had not read."""
-    monkeypatch.setattr("troutdock.http.server.LINGER_S", 0.05)
+    monkeypatch.setattr("troutdock.http.listener.LINGER_S", 0.05)
     monkeypatch.setattr("troutdock.daemon.SWEEP_S", 0.02)
 
     async def test() -> None:
@@ -251,7 +251,7 @@
             for number in range(1, 6):
                 assert len((await w.ask(request("ledger-read", number)))[2]) == 8 * len(PIECE)
             await until(lambda: w.engine.open == 0)
-            held: Any = [o for o in gc.get_objects() if type(o).__name__ == "Exchange"]
+            held = [o for o in gc.get_objects() if isinstance(o, Exchange)]
             assert not [e for e in held if e.flow is not None]
     run(test())
 
--- a/tests/http/test_places.py
+++ b/tests/http/test_places.py
@@ -10,7 +10,7 @@
 from loopback import answer, request, run, until, world
 
 from troutdock.http import bodies
-from troutdock.http import server as server_module
+from troutdock.http import listener as server_module
 
 
 async def asks_in_a_row(w: Any, number: int, times: int, told: list[str], kept: bool = True) -> None:
--- a/troutdock/daemon.py
+++ b/troutdock/daemon.py
@@ -22,7 +22,7 @@
 from troutdock.handover.roles import Item
 from troutdock.http.bodies import Budget
 from troutdock.http.request import Reader
-from troutdock.http.server import Server
+from troutdock.http.listener import Server
 from troutdock.management.availability import State
 from troutdock.management.door import Door
 from troutdock.ingress import SWEEP_S, Ingress, half_of_sockets
--- /dev/null
+++ b/troutdock/http/connection.py
@@ -0,0 +1,426 @@
+"""A client's connection: messages in, answers out in their order, and its way to another process."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Any, NamedTuple, cast
+
+import httptools
+
+from troutdock.engine import BadRequest
+from troutdock.handover.roles import Item
+from troutdock.http.age import has_left
+from troutdock.http.bodies import SMALL, Pace
+from troutdock.http.exchange import Exchange
+from troutdock.http.response import MAX_BODY, MAX_HEAD
+
+if TYPE_CHECKING:
+    from troutdock.http.listener import Server
+
+MAX_PIPELINED = 8  # answers owed on one connection before reading pauses
+MAX_FRAMING = 4 * MAX_BODY  # bytes of chunk framing in one message, beyond as many as its body has
+NO_ROOM_S = b"0.5"  # when to come back with a body that found no room; others' are answered by then
+NOTICED_MS = 10.0  # a shorter wait for this process turns nobody away: not worth asking
+
+_ABSOLUTE = re.compile(rb"https?://[^/?]*", re.I)
+
+
+def path_of(url: bytes) -> bytes:
+    """The path and query of a request's target, which may come in absolute form (RFC 9112, 3.2.2)."""
+    if url[:1] == b"/":
+        return url
+    rest = _ABSOLUTE.sub(b"", url, count=1)
+    return rest if rest[:1] == b"/" else b"/" + rest if rest != url else url
+
+
+class Whole(NamedTuple):
+    """A request that has come whole while this process leaves its clients to a successor."""
+
+    method: bytes
+    url: bytes
+    version: str
+    headers: list[tuple[bytes, bytes]]
+    body: list[bytes]
+    held: int  # bytes of the budget for bodies
+    arrived_ms: float
+
+    def bytes(self) -> bytes:
+        """The message, with a length in place of a coding (RFC 9112, 6.3)."""
+        dropped = (b"content-length", b"transfer-encoding", b"expect", b"trailer")
+        body = b"".join(self.body)
+        lines = [b"%b %b HTTP/%b" % (self.method, self.url, self.version.encode())]
+        lines += [b"%b: %b" % (name, value) for name, value in self.headers if name not in dropped]
+        lines += [b"content-length: %d" % len(body), b"", body]
+        return b"\r\n".join(lines)
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection of a client; requests may come in pieces, in a row, or chunked."""
+
+    def __init__(self, server: Server, sock: socket.socket | None = None, item: Item | None = None) -> None:
+        self.server, self.sock = server, sock
+        self.item = item  # what a predecessor has passed on, and what came to it
+        self.arrived_ms = 0.0  # while messages are read that came whole to the predecessor: when
+        # what has come of the message that is not whole, up to its body: None if it is not known
+        self._raw: list[bytes] | None = []
+        self._raw_body = 0  # bytes of the body that are in there
+        self._completed = 0  # messages
+        self._wholes: list[Whole] = []  # for a successor
+        self._parser: Any = httptools.HttpRequestParser(self)  # None once the connection is lost
+        self._exchanges: deque[Exchange] = deque()
+        self._received = 0  # bytes of the message that is coming
+        self.begun = False  # a message has, and is not complete
+        self._in_head = True
+        self.deaf = False  # the connection is about to end: nothing more is taken
+        self._paused = self._full = False  # reading, and what is written and not taken
+        self._transport: asyncio.Transport
+        self._pace = Pace(time.monotonic(), item is None)
+        self._held = 0  # bytes of the budget for bodies that the message which is coming has
+        self._continue = False  # the client waits to be told that its body is wanted
+        self._clear()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's is none by name
+        self.server.admit(self)
+        if (item := self.item) is not None and item.data:
+            now = self.server.engine.clock.now()
+            self.arrived_ms = item.arrived_ms
+            self.data_received(item.data)
+            self.arrived_ms = 0.0
+            if self.begun and item.began_ms:
+                self._pace.older(max(0.0, now - item.began_ms) / 1000)
+        self.item = None
+
+    def data_received(self, data: bytes) -> None:
+        if self.deaf:
+            return  # only drained: see _end
+        self._received += len(data)
+        completed = self._completed
+        try:
+            self._parser.feed_data(data)
+            if self._in_head and self._received > MAX_HEAD:
+                raise BadRequest(431, "the head is too long")
+            if self._received > MAX_HEAD + MAX_FRAMING + 2 * self._size:
+                raise BadRequest(413, "the framing is too long")
+        except BadRequest as error:
+            self._reject(error.status)
+        except httptools.HttpParserUpgrade:
+            pass  # the request is answered as any other, and the connection ends with it
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self._reject(cause.status if isinstance(cause, BadRequest) else 400)
+        self._remember(data, completed)
+        if self._wholes and self.server.heir is not None:
+            self.server.pass_on_soon(self)
+        if not self.deaf:
+            if self._exchanges:
+                self.server.waiting.drop(self)
+                self.server.idle.drop(self)
+            elif self.begun and self.server.idle.drop(self):
+                self.server.waiting.add(self)
+        if len(self._exchanges) + len(self._wholes) >= MAX_PIPELINED and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _remember(self, data: bytes, completed: int) -> None:
+        """Keep what has come of a message that is not whole, so that it can be passed on; mostly nothing."""
+        if not self.begun:
+            if self._raw != []:
+                self._raw = []
+        elif self._completed != completed:
+            self._raw = None  # it began somewhere in this read, behind another one
+        elif self._raw is not None and (not self._raw_body or self._in_head):
+            self._raw.append(data)
+            self._raw_body = self._size
+            if not self._in_head and any(name == b"transfer-encoding" for name, _ in self._headers):
+                self._raw = None
+
+    def _reject(self, status: int) -> None:
+        """What came is no request, and where the next would begin can't be told."""
+        if not self.deaf:
+            self._drop_body()
+            exchange = Exchange(self, False)
+            self._exchanges.append(exchange)
+            self.deaf = True
+            if status == 503:  # no room now: nothing has run, and trying again is harmless
+                exchange.answer(status, b"", ((b"Retry-After", NO_ROOM_S),))
+            else:
+                exchange.answer(status)
+
+    def _drop_body(self) -> None:
+        """What has come of a message's body goes, and its part of the budget."""
+        self.server.bodies.give(self._held)
+        self._held = 0
+        self._body.clear()
+
+    @property
+    def has_head(self) -> bool:
+        """The body of a request is coming, whose head makes sense."""
+        return self.begun and not self._in_head
+
+    def late(self, now: float) -> bool:
+        """The message that is coming, or the first one, has had its time."""
+        return self._pace.late(now, self._size)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.deaf = True
+        self.server.forget(self)
+        self._drop_body()
+        self.server.bodies.give(sum(whole.held for whole in self._wholes))
+        self._wholes.clear()
+        exchanges, self._exchanges = self._exchanges, deque()
+        for exchange in exchanges:
+            exchange.release()
+            if exchange.reply is None and exchange.call is not None:
+                self.server.engine.withdraw(exchange.call)
+                exchange.call = None
+        self._parser = None  # it holds this connection
+
+    def flush(self) -> None:
+        """Write the answers that are due, in the order of their requests."""
+        while self._exchanges:
+            exchange = self._exchanges[0]
+            if exchange.pieces is not None:
+                pieces, exchange.pieces = exchange.pieces, []
+                for piece in pieces:
+                    self._transport.write(piece)
+                if exchange.flow is not None:  # more of it is to come
+                    if not self._full:
+                        exchange.flow.resume()
+                    break
+            elif exchange.reply is not None:
+                self._transport.write(exchange.reply)
+                if exchange.body:
+                    self._transport.write(exchange.body)
+            else:
+                break
+            self._exchanges.popleft()
+            if not exchange.keep_alive:
+                self._end()
+                return
+        if not self._exchanges and not self.deaf:
+            self._tell_to_continue()
+            self.server.waiting.drop(self)
+            if self.begun:
+                self.server.waiting.add(self)
+            else:
+                self.server.rest(self)
+            if self.server.heir is not None:
+                self.server.pass_on_soon(self)
+        if self._paused and len(self._exchanges) < MAX_PIPELINED:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def pass_on(self) -> Item | None:
+        """Leave the connection to another process; None: something of it is here that would be lost."""
+        if self.sock is None or self.deaf or self._exchanges or self.unwritten:
+            return None
+        if self.begun and self._raw is None:
+            return None  # until it is whole
+        data = b"".join(whole.bytes() for whole in self._wholes)
+        began_ms = 0.0
+        if self.begun and self._raw is not None:
+            data += b"".join(self._raw) + b"".join(self._body)[self._raw_body:]
+            began_ms = self.server.engine.clock.now() - 1000 * (time.monotonic() - self._pace.began())
+        arrived_ms = self._wholes[0].arrived_ms if self._wholes else 0.0
+        self._transport.pause_reading()
+        item = Item(self.sock.dup(), data, began_ms, arrived_ms)
+        self.deaf = True
+        self._transport.abort()  # closes this process's descriptor only
+        return item
+
+    def take_back(self) -> None:
+        """There is no successor for what has come whole: it is this process's."""
+        wholes, self._wholes = self._wholes, []
+        for whole in wholes:
+            keep = self._keeps(whole.headers, whole.version)
+            exchange = Exchange(self, keep, whole.held, whole.version != "1.0")
+            self._exchanges.append(exchange)
+            self._ask(exchange, whole.method, whole.url, whole.headers, whole.body)
+            if not keep:
+                self.deaf = True
+                break
+
+    @property
+    def held(self) -> int:
+        """Bytes of the budget for bodies that requests with answers to come have."""
+        return sum(exchange.held for exchange in self._exchanges)
+
+    def first(self) -> Exchange | None:
+        """The request whose answer is the next to go out."""
+        return self._exchanges[0] if self._exchanges else None
+
+    def pause_writing(self) -> None:
+        """The client reads more slowly than it is written to."""
+        self._full = True
+        self.server.slow.add(self)
+        if self._exchanges and self._exchanges[0].flow is not None:
+            self._exchanges[0].flow.pause()
+
+    def resume_writing(self) -> None:
+        self._full = False
+        self.server.slow.drop(self)
+        if self._exchanges and self._exchanges[0].flow is not None:
+            self._exchanges[0].flow.resume()
+
+    @property
+    def unwritten(self) -> bool:
+        """The client has not taken all that was written to it."""
+        return self._transport.get_write_buffer_size() > 0
+
+    def _end(self) -> None:
+        """Say goodbye, but read on for a while: an unread byte would take the answer with it."""
+        self.deaf = True
+        self.server.waiting.drop(self)
+        self.server.idle.drop(self)
+        self.server.ending.add(self)
+        if self._received or self._exchanges:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+        else:
+            self._transport.close()
+
+    def time_out(self) -> None:
+        """The message has not come whole in its time: an error if it has begun, and the end."""
+        if self.begun and not self.deaf:
+            self._reject(408)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection between requests, once its last answer is out."""
+        self.deaf = True
+        self._transport.close()
+
+    def make_room(self) -> None:
+        """Close now, as its place is needed: with bytes that the client does not read it would stay open."""
+        self.deaf = True
+        if self._transport.get_write_buffer_size():
+            self._transport.abort()
+        else:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once: guards against a client that never reads its answer, or never ends its request."""
+        self.deaf = True
+        self._transport.abort()
+
+    # ---- called by the parser
+
+    def on_message_begin(self) -> None:
+        self.begun = True
+        self._clear()
+        self._pace.begins(time.monotonic())
+
+    def _clear(self) -> None:
+        self._url, self._size = b"", 0
+        self._body: list[bytes] = []
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value.strip(b" \t")))  # RFC 9112, 5: no part of the value
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._pace.head_done(time.monotonic())
+        lengths = [value for name, value in self._headers if name == b"content-length"]
+        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if (lengths and codings) or len(lengths) > 1 or len(codings) > 1:
+            raise BadRequest(400, "where the request ends can't be told")  # one may be hidden in its body
+        if codings and (codings[0].lower() != b"chunked" or self._parser.get_http_version() != "1.1"):
+            raise BadRequest(400, "no such transfer coding")
+        if lengths and not lengths[0].isdigit():
+            raise BadRequest(400, "the length is no number")
+        if lengths and (len(lengths[0]) > 12 or int(lengths[0]) > self.server.bodies.bound):
+            raise BadRequest(413, "the body is too long")
+        if lengths and int(lengths[0]) > SMALL:
+            self._hold(int(lengths[0]))  # all of it before any has come: no two wait for each other's end
+        expects = [value.lower() for name, value in self._headers if name == b"expect"]
+        if b"100-continue" in expects and (lengths or codings) and self._parser.get_http_version() == "1.1":
+            self._continue = True
+            if not self._exchanges:
+                self._tell_to_continue()
+
+    def _tell_to_continue(self) -> None:
+        """RFC 9110, 10.1.1; not before the answers that are owed."""
+        if self._continue and not self.deaf:
+            self._continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _hold(self, count: int) -> None:
+        if not self.server.bodies.take(count):
+            raise BadRequest(503, "there is no room for the body now")
+        self._held += count
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        self._continue = False  # it did not wait
+        if self._size > SMALL and self._size > self._held:
+            if self._size > self.server.bodies.bound:
+                raise BadRequest(413, "the body is too long")
+            self._hold(max(self._size - self._held, SMALL))  # in steps: a chunked one does not say its length
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        self._received, self.begun = 0, False
+        self._completed += 1
+        self._raw_body = 0
+        if self.deaf:
+            return
+        method, version = self._parser.get_method(), self._parser.get_http_version()
+        held, self._held, self._continue = self._held, 0, False
+        if self.server.leaving:
+            now = self.server.engine.clock.now()
+            whole = Whole(method, self._url, version, self._headers, self._body, held, now)
+            self._wholes.append(whole)
+            self._body = []
+            return
+        stays = self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        exchange = Exchange(self, stays, held, version != "1.0")
+        self._exchanges.append(exchange)
+        if not exchange.keep_alive:
+            self.deaf = True
+        body, self._body = self._body, []
+        self._ask(exchange, method, self._url, self._headers, body)
+
+    @staticmethod
+    def _keeps(headers: list[tuple[bytes, bytes]], version: str) -> bool:
+        """Whether the client goes on with the connection (RFC 9112, 9.3)."""
+        options = b",".join(value.lower() for name, value in headers if name == b"connection")
+        named = [option.strip() for option in options.split(b",")]
+        if b"close" in named or b"upgrade" in named:
+            return False
+        return version != "1.0" or b"keep-alive" in named
+
+    def _ask(self, exchange: Exchange, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]],
+             body: list[bytes]) -> None:
+        """A request has come whole: it is answered here, or goes to the engine."""
+        path, server = path_of(url), self.server
+        if path == b"/healthz" and method == b"GET":
+            exchange.answer(200 if server.healthy else 503)
+            return
+        waited_ms = server.engine.clock.now() - exchange.arrived
+        if waited_ms > NOTICED_MS:
+            damping = server.damping
+            if damping.drop_departed and self.sock is not None and has_left(self.sock):
+                self._exchanges.pop()  # the connection's end, unread yet, withdraws those before it
+                return
+            if damping.turn_away:
+                waited = server.reader.waited(path, headers, waited_ms)
+                if waited is not None and server.engine.turn_away(waited, exchange):
+                    return
+        try:
+            request = server.reader.read(method, path, headers, body)
+            call = server.engine.arrive(request, exchange)
+            if exchange.reply is None:
+                exchange.call = call
+        except BadRequest as error:
+            exchange.answer(error.status, error.reason.encode(), ((b"Content-Type", b"text/plain"),))
