--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -10,12 +10,13 @@
 from math import ceil, inf, sqrt
 from random import Random
 from typing import Any
+from zlib import crc32
 
 from tamarindfold.interface import (
     Actions, AnswerBegan, AttemptEnded, BackendEntry, BackendState, Cancel, Count, CountAnswered, Effect,
-    Event, Fail, FleetUpdate, Group, ListKind, Outcome, Plan, Refuse, RequestArrived, RequestClass,
-    RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, Settled, TimerFired,
-    renumbered,
+    Event, Fail, FleetUpdate, Group, ListKind, Outcome, Plan, PlanAssigned, Refuse, RequestArrived,
+    RequestClass, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, Settled,
+    TimerFired, renumbered,
 )
 
 # ---- tuned constants
@@ -101,6 +102,15 @@
         cap = plan.ceiling_burst * self.even
         self.cap_tokens = min(cap, self.cap_tokens + gone * plan.ceiling_rate * self.even)
 
+    def change(self, now: float, plan: Plan) -> None:
+        """Another plan from now on: what is there stays, up to the new rims; nothing is filled up."""
+        self.refill(now)  # at the old rate until now
+        if plan.ceiling_rate and not self.plan.ceiling_rate:
+            self.cap_tokens = 0.0  # what went before was not measured against it
+        self.plan = plan
+        self.refill(now)
+        self.store = min(self.store, plan.burst)
+
     def return_time(self, now: float, units: float, no_show: float) -> float:
         """DIBA (the paper's Algorithm 6): how long the refused client is to stay away."""
         if self.appointments is None:
@@ -278,7 +288,8 @@
             RequestArrived: self.arrived, RequestWaited: self.waited, AttemptEnded: self.ended,
             AnswerBegan: self.began,
             CountAnswered: self.count_answered, FleetUpdate: self.fleet, RequestWithdrawn: self.withdrawn,
-            TimerFired: self.overdue, SettingsChanged: self.configured, Settled: self.settled}
+            TimerFired: self.overdue, SettingsChanged: self.configured, Settled: self.settled,
+            PlanAssigned: self.assigned}
 
     def follow(self, settings: Settings) -> None:
         """Keep what follows from the settings."""
@@ -303,10 +314,12 @@
                            for key, (at, work, pile, cls, due) in backend.out.items()}
         plans = {plan.name: plan for plan in event.settings.plans}
         for customer in self.customers.values():
-            customer.refill(now)  # at the old rate until now
-            customer.plan = plans.get(customer.plan.name, customer.plan)
-            customer.refill(now)
-            customer.store = min(customer.store, customer.plan.burst)
+            customer.change(now, plans.get(customer.plan.name, customer.plan))
+
+    def assigned(self, now: float, event: PlanAssigned) -> None:
+        """A customer's plan is another one from now on; what it has used stays used."""
+        if (customer := self.customers.get(event.customer)) is not None:
+            customer.change(now, self.settings.plans[event.plan])
 
     def handle(self, now: float, event: Event) -> Actions:
         """Take in one event; the actions are to be carried out in order."""
@@ -453,7 +466,9 @@
     def name(self, now: float, customer: Customer) -> tuple[int, float]:
         """The customer's name of this minute and its age; customers change theirs at different moments."""
         turn, age = divmod(now + customer.number * 2654435761 % 2**32 / 2**32 * NAME_TTL_MS, NAME_TTL_MS)
-        return int(turn) << 33 | customer.number, age
+        # a plan has names of its own: use under one rate, read with another's, would tell a false store
+        plan = crc32(customer.plan.name.encode()) & 0x1FFFFF
+        return plan << 43 | (int(turn) & 0x3FF) << 33 | customer.number, age
 
     def count_answered(self, now: float, event: CountAnswered) -> None:
         """Guards against a slow, full or lost counter: never add twice, ask less, hold what was told."""
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -216,6 +216,14 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class PlanAssigned:
+    """From now on the customer has this plan, and its requests name it; nothing where it is not known yet."""
+
+    customer: int
+    plan: int
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A client's try; the gateway owes it one final answer within time_left_ms.
@@ -364,8 +372,8 @@
     group: tuple[Group, int] | None = None
 
 
-Event = (FleetUpdate | SettingsChanged | RequestArrived | RequestWaited | AnswerBegan | AttemptEnded
-         | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage | CountAnswered | Settled)
+Event = (FleetUpdate | SettingsChanged | PlanAssigned | RequestArrived | RequestWaited | AnswerBegan
+         | AttemptEnded | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage | CountAnswered | Settled)
 
 
 # ---- actions
--- /dev/null
+++ b/tests/plans/test_change.py
@@ -0,0 +1,95 @@
+"""What a change of plan does to a customer that is in service, at one gateway and over several."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from build import SAFE, START, ended, gateway, request
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tamarindfold.choice import Customer
+from tamarindfold.interface import Count, CountAnswered, Outcome, Plan, PlanAssigned, Refuse, Send
+
+BASE = Plan(8, 16, ceiling_rate=20, ceiling_burst=40, name="base")
+
+
+def changed(tokens: float, cap: float, plan: Plan, before: Plan = BASE, after_ms: float = 0.0) -> tuple[float, float, float]:
+    """Bucket, ceiling's store and believed shared store, of a customer with the whole of a plan."""
+    customer = Customer(before, 1, START)
+    customer.tokens, customer.cap_tokens, customer.store = tokens, cap, 10.0
+    customer.change(START + 1000, plan)
+    customer.refill(START + 1000 + after_ms)
+    return customer.tokens, customer.cap_tokens, customer.store
+
+
+@pytest.mark.parametrize(("change", "after_ms", "left"), [
+    ({}, 0, (9, 22, 10)),  # a second at the old rates
+    ({"rate": 80}, 0, (9, 22, 10)), ({"rate": 80}, 50, (13, 23, 10)), ({"rate": 0.8}, 1000, (9.8, 40, 10)),
+    ({"burst": 160}, 0, (9, 22, 10)), ({"burst": 160}, 4000, (41, 40, 10)), ({"burst": 4}, 0, (4, 22, 4)),
+    ({"ceiling_rate": 200}, 50, (9.4, 32, 10)), ({"ceiling_rate": 2}, 1000, (16, 24, 10)),
+    ({"ceiling_burst": 400}, 0, (9, 22, 10)), ({"ceiling_burst": 4}, 0, (9, 4, 10)),
+    ({"ceiling_rate": 0, "ceiling_burst": 0}, 0, (9, 0, 10))])
+def test_each_figure_up_and_down(change: dict[str, float], after_ms: float, left: tuple[float, float, float]) -> None:
+    assert changed(1.0, 2.0, replace(BASE, name="new", **change), after_ms=after_ms) == pytest.approx(left)
+
+
+def test_a_ceiling_where_there_was_none_starts_empty() -> None:
+    assert changed(1.0, 0.0, BASE, before=Plan(8, 16, name="free"))[1] == pytest.approx(0.0)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["up", "down", "ask", "wait"]), st.integers(0, 2), st.integers(1, 9)), max_size=40))
+def test_no_ceiling_is_passed_though_gateways_hear_of_changes_at_their_own_times(steps: list[tuple[str, int, int]]) -> None:
+    """Three gateways with a third each; what they let in together stays under the higher ceiling's store throughout."""
+    low = Plan(0, 0, ceiling_rate=3, ceiling_burst=12, name="low")
+    high = Plan(0, 0, ceiling_rate=30, ceiling_burst=60, name="high")
+    gateways = [gateway(*range(1, 20), classes=(SAFE,), plans=(low, high), gateways=3, index=n) for n in range(3)]
+    now, number, store = START + 30_000.0, 0, 60.0
+    for what, at, amount in steps:
+        g = gateways[at]
+        if what == "wait":
+            now += 100.0 * amount
+            store = min(60.0, store + 0.1 * amount * 30)
+        elif what != "ask":
+            g.handle(now, PlanAssigned(9, what == "up"))
+        else:
+            for _ in range(amount):
+                number += 1
+                for action in g.handle(now, request(number, width=3)):
+                    if isinstance(action, Send):
+                        store -= 1
+                        g.handle(now, ended(number, action.backend, took=5.0))
+        assert store >= 0
+
+
+def test_a_downgrade_counts_anew_and_does_not_owe_what_the_old_plan_had_paid_for() -> None:
+    """Use at 40 a second, read with a rate of 3, is a debt of 158 units that the customer does not have."""
+    rich, poor = Plan(40, 80, name="rich"), Plan(3, 16, name="poor")
+    g = gateway(*range(1, 20), plans=(rich, poor), gateways=1, counter=True, counter_timeout_ms=50)
+    names: dict[int, float] = {}
+    sent: list[tuple[float, str]] = []
+
+    def ask(now: float, number: int) -> None:
+        todo: list[Any] = g.handle(now, request(number, width=1))
+        while todo:
+            action = todo.pop(0)
+            if isinstance(action, Count):
+                names[action.name] = names.get(action.name, 0.0) + action.amount
+                todo += g.handle(now, CountAnswered(action.name, Outcome.OK, 1.0, names[action.name]))
+            elif isinstance(action, Send):
+                sent.append((now, g.customers[9].plan.name))
+                todo += g.handle(now, ended(number, action.backend, took=5.0))
+            else:
+                assert isinstance(action, Refuse)
+
+    for n in range(1200):  # 30 s at the old rate
+        ask(START + 25.0 * n, n + 1)
+    g.handle(START + 30_000, PlanAssigned(9, 1))
+    for n in range(1200):
+        ask(START + 30_000 + 25.0 * n, 5000 + n)
+        assert g.customers[9].store > -16
+    after = sum(plan == "poor" for _, plan in sent)
+    assert sum(plan == "rich" for _, plan in sent) > 1000
+    assert 95 <= after <= 16 + 3 * 30 + 20  # lumps: a few units are let in before they count
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -51,6 +51,7 @@
 MAY_IMPORT = {
     "engine": {"engine"},
     "overload": {"overload"},
+    "plans": {"plans"},
     "management": {"management", "address"},
     "http": {"http", "engine", "overload", "address", "management", "handover"},
     "platform": {"platform", "http", "overload", "address"},
@@ -80,5 +81,5 @@
     code = "import sys, troutdock.__main__; print([m for m in sys.modules if m.startswith(('troutdock.', 'starlette'))])"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
     assert "troutdock.daemon" in done.stdout
-    for unused in ("troutdock.asgi", "troutdock.library", "starlette"):
+    for unused in ("troutdock.asgi", "troutdock.library", "troutdock.plans", "starlette"):
         assert unused not in done.stdout
