How long a long body takes to its backend is no sign of the backend's slowness

Of 122 requests with bodies over 64 KiB the time that was learnt as the backend's was 318 ms in the median, of the others 84: a backend that reads slowly has the last byte long after this side's kernel has taken it, which can't be seen from here. Each such answer made the fleet look several times slower.

Change: for these the part that was not the backend's work is infinite, and their time is no sign, good or bad; that the backend has answered counts as before.

--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -805,6 +805,8 @@
             backend.heard_at = now
         overdue = event.outcome is Outcome.CANCELLED and now > due
         if event.outcome is Outcome.OK:
+            if event.lag_ms >= event.elapsed_ms:
+                return  # how much of its time was the backend's can't be told
             backend.slowness[cls].sign(now, took, 1 - KEEP, fleet)
             if pile < 2:  # a jam is not learnt as usual
                 pool.unit_ms[cls] *= 1 + min(took - 1, 1.0) * LEARN
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -284,7 +284,7 @@
     """The one outcome of an attempt; over: the request is concluded.
 
     lag_ms: the part of elapsed_ms that was not the backend's work: the gateway itself was late, or a long
-    message was on its way.
+    message was on its way. Infinite where that part can't be told: then its time is no sign of anything.
     """
 
     request: int
--- a/tests/test_begun.py
+++ b/tests/test_begun.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import Any
 
 import pytest
@@ -43,11 +44,13 @@
 
 
 def test_what_it_took_is_learnt_less_the_way_of_the_request() -> None:
-    slow, prompt = gateway(seed=3), gateway(seed=3)
-    for g, lag in ((slow, 0.0), (prompt, 900.0)):
+    slow, prompt, untold = [gateway(seed=3) for _ in range(3)]
+    for g, lag in ((slow, 0.0), (prompt, 900.0), (untold, inf)):
         send, _ = sent(g) if g.settings.second_copies else (g.handle(START, request(1))[0], None)
         g.handle(START + 1000, AnswerBegan(1, 0, send.backend, 1000, True, lag))
     assert slow.pools[0].slowness.now(START + 1000) > prompt.pools[0].slowness.now(START + 1000)
+    # where that part can't be told its time is no sign, good or bad, but the backend has been heard of
+    assert untold.pools[0].slowness.at == -inf and {b.heard_at for b in untold.backends.values()} == {-inf, START + 1000}
 
 
 def test_an_answer_that_breaks_off_after_it_began_is_not_tried_again() -> None:
--- a/troutdock/engine/attempt.py
+++ b/troutdock/engine/attempt.py
@@ -13,7 +13,8 @@
     owner: the engine's call. message: what is sent. started: milliseconds of the engine's clock.
     repeatable: another attempt may follow one that may have run. over: ended or given up.
     lag_ms: the part of its time that was not the backend's work, so far as the transport can tell: the
-    process was late, a long message was on its way. streams: its answer may be passed on as it comes.
+    process was late, a long message was on its way; infinite where that can't be told.
+    streams: its answer may be passed on as it comes.
     """
 
     __slots__ = ("backend", "index", "lag_ms", "message", "over", "owner", "repeatable", "started", "streams")
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import Any, Protocol, cast
 
 from tamarindfold.interface import BackendId, BackendState, FleetUpdate, ListKind, Outcome
@@ -111,14 +112,13 @@
         if isinstance(attempt.message, bytes):
             self._transport.write(attempt.message)
         else:
+            # a backend begins with the last byte, and when it has read that can't be seen here
+            attempt.lag_ms = inf
             for piece in attempt.message:
                 self._transport.write(piece)
         self._written = self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing()
 
     def resume_writing(self) -> None:
-        if not self._written and self.attempt is not None and not isinstance(self.attempt.message, bytes):
-            # a backend begins with the last byte: how long a long body took to send is not its slowness
-            self.attempt.lag_ms = (asyncio.get_running_loop().time() - self._started) * 1000
         self._written = True
 
     def usable(self) -> bool:
