--- a/tests/handover/test_handover.py
+++ b/tests/handover/test_handover.py
@@ -17,6 +17,7 @@
 
 
 from troutdock.handover.link import NAME
+from troutdock.handover.protocol import Holds
 from troutdock.handover.roles import Item
 
 
@@ -354,6 +355,19 @@
 
 
 
+def test_what_a_predecessor_holds_of_the_budgets_is_free_once_it_is_gone_however_it_goes() -> None:
+    async def test() -> None:
+        async with world(answer()) as w:
+            for alone in (False, True):  # followed to its end; or dead before it was
+                assert w.service.take(b"no state", Holds(bodies=7, streams=1))[0]
+                w.service.own(alone)
+                assert (w.service._server.bodies.held, w.service._server.streams) == ((0, 0) if alone else (7, 1))
+                if not alone:
+                    w.service.ended()
+                assert (w.service._server.bodies.held, w.service._server.streams) == (0, 0)
+    run(test())
+
+
 class Heir:
     """Takes what it is given, or nothing."""
 
@@ -377,6 +391,7 @@
             waiting.writer.write(posted(1, "a"))
             pipelined.writer.write(posted(4, "c") + posted(5, "d") + posted(6, "ef")[:-1])
             await until(lambda: sum(len(c._wholes) for c in server._clients) == 3)
+            assert not [c for c in server._clients if c._wholes and c in server.waiting]  # where it would be late one day
             spoilt.writer.write(posted(7, "g") + b"nonsense\r\n\r\n")  # can't go over: answered here, in order
             assert [(await spoilt.answer())[0] for _ in range(2)] == [200, 400]
             server.take_back()
