--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -45,6 +45,15 @@
     assert only(g.handle(START, request(1, width=4, retry=retry, left=6000.0 - age_ms)), kind)
 
 
+@pytest.mark.parametrize(("left", "kind"), [(4000.0, Send), (3990.0, Send), (3500.0, Refuse)])
+def test_a_retry_with_the_time_out_of_a_first_try_is_not_taken_for_late(left: float, kind: type) -> None:
+    """Clients that give each try two thirds of the deadline: the time-out tells an age only once it is cut short."""
+    g, c = bucket(4.0, marks_retry=True)
+    g.handle(START, request(1, customer=8, width=4, left=4000.0))
+    c.tokens = 1.1
+    assert only(g.handle(START, request(2, width=4, retry=True, left=left)), kind)
+
+
 def test_a_customer_beyond_its_quota_is_served_in_time_though_all_that_are_refused_return() -> None:
     """Three times what the quota gives, and every refused try comes back once, after its aim.
 
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -183,3 +183,15 @@
             assert (await w.ask(message("payment-book", 2, Client_Retry="1")))[0] not in (200, 429)
             assert ledger.runs == 0
     run(test())
+
+
+@pytest.mark.parametrize(("age_ms", "seen", "kind"), [(1200.0, True, Send), (1200.0, False, Fail), (2800.0, True, Fail),
+                                                      (0.0, True, Fail)])
+def test_a_fresh_gateway_lets_in_a_retry_that_its_time_out_shows_to_be_within_the_window(age_ms, seen, kind) -> None:
+    """In a fleet nearly every retry comes to another gateway than its first try; 0: it tells no age at all."""
+    g = made()
+    if seen:  # what time-outs first tries have here
+        ask(g, START, 1, key=5)
+    retry = request(2, retry=True, left=4000.0 - age_ms)
+    retry.key = 77
+    assert [a for a in g.handle(START + 50, retry) if isinstance(a, kind)]
