--- a/tamarindfold/word.py
+++ b/tamarindfold/word.py
@@ -37,7 +37,7 @@
 LEAST_MS = 200.0  # between two digests: what is learnt so late lets two requests more pass, at most
 LEAST = 0.02  # of the burst: what is told by itself; less waits, from a random start so that the sum is right
 PULL = 0.2  # how far a told level moves one that is sure too: a few digests, and chance is averaged out
-MARKS = 20_000  # customers whose store is kept, some 200 bytes each
+MARKS = 20_000  # customers whose store is kept, some 250 bytes each
 SEEN = 64  # numbers of digests that are remembered of a sender, against one that comes twice
 
 
