A successor listens to peers once their address is free; what a peer can do said right

Need, found on reading the change over: at an upgrade the newer process could not bind the peers' address, which the older one holds, and stayed deaf for good.

The test of the successor fails without the mend.

--- a/tamarindfold/word.py
+++ b/tamarindfold/word.py
@@ -11,11 +11,11 @@
     sure       the store was followed from its rim, or a sure peer has told it: told levels only pull a
                little, so that lost digests don't add up
 
-Two rules. What a peer says can make a gateway refuse only what is beyond the customer's own slice at that
-gateway where the slice can hold a request, and it never names a backend. And a digest is spent from a
-budget: one in so long a time that no gateway is sent more than it takes in, of MOST bytes at most.
+Two rules. What a peer says can have a customer refused, as the quota is shared, but it never names a backend
+and never lets in what the ceiling forbids. And a digest is spent from a budget: one in so long a time that no
+gateway is sent more than it takes in, of MOST bytes at most.
 
-A digest: version (u8), number (u16, one more each time), then for each customer MARK bytes of its mark, its
+A digest: version (u8), number (u16, one more each time), then for each customer its mark (3 bytes), its
 use in hundredths of the burst (i8; below nought: given back), and the store in STEPS of its burst (u8;
 UNSURE: not known).
 """
--- a/tests/membership/test_datagrams.py
+++ b/tests/membership/test_datagrams.py
@@ -10,6 +10,7 @@
 import pytest
 from loopback import SETTINGS, run, until
 
+from troutdock.ingress import Ingress
 from troutdock.membership.datagrams import MOST, Datagrams, Peers
 from troutdock.platform.config import ConfigError, read_config
 
@@ -83,3 +84,21 @@
     raw["peers"][1] = "nowhere"
     with pytest.raises(ConfigError, match=r"peers\[1\]"):
         read_config(json.dumps(raw))
+
+
+def test_a_successor_hears_peers_once_the_address_is_free() -> None:
+    """At an upgrade two processes have the same addresses for a while."""
+    async def test() -> None:
+        before = bound()
+        listen = "{}:{}".format(*before.getsockname())
+        raw = json.loads(config(peer_listen=listen))
+        raw["settings"]["permissions"]["may_tell"] = True
+        ingress = Ingress(read_config(json.dumps(raw)))
+        await ingress.start()
+        try:
+            assert ingress.peers is not None and not ingress.peers.is_open
+            before.close()
+            await until(lambda: ingress.peers is not None and ingress.peers.is_open)
+        finally:
+            await ingress.close()
+    run(test())
--- a/troutdock/ingress.py
+++ b/troutdock/ingress.py
@@ -49,6 +49,7 @@
             self.counter = Counter(config.counter, timeout_s, self.engine.count_answered)
             self.engine.count_with(self.counter)
         self.peers: Datagrams | None = None
+        self._deaf = False  # their address could not be had yet
         if config.peers is not None and settings.peers and settings.gateways > 1:
             self.peers = Datagrams(config.peers, settings.index, settings.peer_in_per_s, self.engine.heard)
             self.engine.tell_by(self.peers)
@@ -65,11 +66,7 @@
 
     async def start(self) -> None:
         """Watch the list and connect to the counter; returns once that has been tried."""
-        if self.peers is not None:
-            try:
-                self.peers.open()
-            except OSError as error:
-                log.warning("peers: nothing is told or heard: %s", error)
+        self._open_peers()
         if self._discovery is not None:
             self._watch = Background("the watch of discovery", self._discovery.run)
         if (counter := self.counter) is not None:
@@ -116,6 +113,20 @@
             self.peers.close()
         self.transport.close()
 
+    def _open_peers(self) -> None:
+        """Listen to peers; the address may be a predecessor's until that has ended, so it is tried for."""
+        if self.peers is not None and not self.peers.is_open:
+            try:
+                self.peers.open()
+            except OSError as error:
+                if not self._deaf:
+                    log.warning("peers: nothing is told or heard yet: %s", error)
+                self._deaf = True
+            else:
+                if self._deaf:
+                    log.info("peers: heard from now on")
+                self._deaf = False
+
     def _sample(self) -> None:
         self.lag.sample()
         self._sampler = asyncio.get_running_loop().call_later(EVERY_S, self._sample)
@@ -123,6 +134,7 @@
     async def _sweep_connections(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
+            self._open_peers()
             self.transport.sweep()
             t = self.engine.tally
             sums = Sums(t.taken, t.refused, t.turned_away, t.retries, t.connections)
--- a/troutdock/membership/datagrams.py
+++ b/troutdock/membership/datagrams.py
@@ -48,6 +48,11 @@
         self.dropped: Counter[str] = Counter()  # by cause
         self.address = peers.listen
 
+    @property
+    def is_open(self) -> bool:
+        """There is a socket to hear and to tell by."""
+        return self._socket is not None
+
     def open(self) -> None:
         """Listen; OSError if the address can't be had."""
         self._loop = asyncio.get_running_loop()
