--- /dev/null
+++ b/almanac/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of settings and configurations: name, type, default and check of each value."""
--- /dev/null
+++ b/almanac/boot.py
@@ -0,0 +1,120 @@
+"""The settings file that the platform gives every process of the system, as a table."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ruamel.yaml import YAML
+from ruamel.yaml.error import YAMLError
+
+from almanac.settings import (
+    Setting,
+    SettingsError,
+    Table,
+    address,
+    flag,
+    list_of,
+    map_of,
+    number,
+    one_of,
+    or_none,
+    text,
+    whole,
+)
+
+ENVIRONMENT = "TROUTDOCK_BOOT"  # the variable with the file's path
+
+BOOT = Table(
+    Setting("nodeName", text, about="the machine, by name"),
+    Setting("role", text, "", "as the deploy file names it"),
+    Setting("machineClass", text, "", "edge or core"),
+    Setting("serves", list_of(text), (), "who may call this process from outside"),
+    Setting("ipAddress", text, about="of the machine"),
+    Setting("zone", text, about="of the machine"),
+    Setting("region", text, "", "of the zone"),
+    Setting("zones", map_of(text), {}, "each zone's region"),
+    Setting("bindAddresses", map_of(address), {}, "where to listen, by what is served"),
+    Setting("internalPortRange", list_of(whole(1), 2), about="first and last port for the system's own talk"),
+    Setting("seedNodes", list_of(address), (), "control-plane addresses of some machines"),
+    Setting("bootstrap", flag, False, "the whole system starts for the first time"),
+    Setting("quorumMember", flag, False, "the machine counts where losses are borne"),
+    Setting("limits.memoryMb", number(16), 256, "of this process"),
+    Setting("limits.fileDescriptors", whole(64), 1024, "of this process"),
+    Setting("limits.diskMb", number(0), 0, "of the data folder"),
+    Setting("dataDirectory", or_none(text), None, "what lasts lies there"),
+    Setting("heartbeatS", number(0.01), 1.5, "between two calls of a backend"),
+    Setting("faultTolerance.machines", whole(0), 0, "counted machines that may be lost at once"),
+    Setting("faultTolerance.zones", whole(0), 0, "zones that may be lost at once"),
+    Setting("faultTolerance.regions", whole(0), 0, "regions that may be lost at once"),
+    Setting("bounds.graceS", number(0.1), 6.0, "from SIGTERM to SIGKILL"),
+    Setting("bounds.drainS", number(0.01), 2.5, "until nothing reaches a backend that drains"),
+    Setting("bounds.contactS", number(0.01), 3.0, "after which a calm machine is in touch"),
+    Setting("bounds.propagationS", number(0.01), 2.5, "until a configuration binds everywhere"),
+    Setting("bounds.ackTimeoutS", number(0.01), 5.0, "until a proper order has its answer"),
+    Setting("bounds.retryRatio", number(0), 0.2, "further tries a request, over all ingresses"),
+    Setting("bounds.retryWindowS", number(0.01), 10.0, "in any span of this length"),
+    Setting("bounds.retryAllowance", number(0), 20, "and so many on top"),
+    Setting("bounds.quotaWindowS", number(0.01), 5.0, "quotas hold in any span of this length"),
+    Setting("bounds.quotaTolerance", number(0), 0.1, "of a quota that may be passed"),
+    Setting("bounds.quotaAllowance", number(0), 20, "requests of a tenant on top"),
+    Setting("configMode", one_of("highest"), "highest", "which configuration prevails"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Boot:
+    """The file's values as processes use them; values: all by dotted name."""
+
+    name: str
+    ip: str
+    zone: str
+    ports: tuple[int, int]
+    listen: Mapping[str, tuple[str, int]]
+    seeds: tuple[tuple[str, int], ...]
+    bootstrap: bool
+    data: Path | None
+    values: Mapping[str, Any]
+
+    def port(self, number: int) -> int:
+        """The system's own port of that number on every machine, from 0."""
+        return min(self.ports[0] + number, self.ports[1])
+
+
+def _address(value: str) -> tuple[str, int]:
+    host, _, port = value.rpartition(":")
+    return host, int(port)
+
+
+def boot_of(given: Any) -> Boot:
+    """The settings of a mapping; SettingsError names what is wrong."""
+    values = BOOT.read(given)
+    first, last = values["internalPortRange"][:2]
+    if last < first:
+        raise SettingsError(f"internalPortRange: {last} is below {first}")
+    data = values["dataDirectory"]
+    return Boot(
+        values["nodeName"],
+        values["ipAddress"],
+        values["zone"],
+        (first, last),
+        {name: _address(value) for name, value in values["bindAddresses"].items()},
+        tuple(_address(value) for value in values["seedNodes"]),
+        values["bootstrap"],
+        Path(data) if data is not None else None,
+        values,
+    )
+
+
+def load_boot(path: str) -> Boot:
+    """The settings file; SettingsError if it can't be read or is senseless."""
+    try:
+        given = YAML(typ="safe", pure=True).load(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, YAMLError) as error:
+        raise SettingsError(f"{path}: {' '.join(str(error).split())}") from error
+    try:
+        return boot_of(given)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from error
--- /dev/null
+++ b/espalier/__main__.py
@@ -0,0 +1,29 @@
+"""Start, signals and the end of the proxy: python -m espalier, by the settings that TROUTDOCK_BOOT names."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+from almanac.boot import Boot
+from almanac.program import life_of_now, run
+from espalier.daemon import Ingress
+from espalier.mesh import PORT
+
+
+async def main(boot: Boot, path: str) -> int:
+    """Until SIGTERM or SIGINT, and to the end of what was taken by then."""
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    ingress = Ingress(boot, path, life_of_now())
+    loop.add_signal_handler(signal.SIGHUP, ingress.reload)
+    await ingress.start(boot.listen["http"], boot.listen["readiness"], (boot.ip, boot.port(PORT)))
+    await stop.wait()
+    await ingress.end(boot.values["bounds.graceS"])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run("espalier", main))
--- /dev/null
+++ b/espalier/daemon.py
@@ -0,0 +1,350 @@
+"""The proxy's loop: clients, backends, news from the registry, other ingresses, readiness, the end.
+
+What clients and backends are spoken to with is troutdock's: engine, front and transport. Here they get the
+system's reader and verdict, and the decision module for many ingresses (tamarindfold.fabric).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from random import Random
+
+import logbook
+
+from almanac.boot import Boot, load_boot
+from almanac.configuration import Refused, read_configuration
+from almanac.settings import SettingsError
+from espalier.mesh import ROLE, Mesh
+from espalier.news import Feed
+from espalier.reader import SystemReader, passes, verdict
+from espalier.routes import Table
+from espalier.shares import News
+from furrow.calls import Call, CallServer, Reply
+from furrow.link import Address, Link
+from furrow.messages import (
+    GONE,
+    Config,
+    Fresh,
+    Hello,
+    Instances,
+    Members,
+    Message,
+    Silence,
+)
+from pollen.instances import Book, Entry
+from tamarindfold.fabric import Fabric
+from tamarindfold.interface import (
+    Actions,
+    BackendEntry,
+    BackendState,
+    Company,
+    Event,
+    FleetUpdate,
+    Level,
+    ListKind,
+    OthersLoad,
+    OthersUse,
+    Plan,
+    RequestClass,
+    Settings,
+    Suspected,
+    Effect,
+)
+from troutdock.address import parse_address
+from troutdock.engine import Engine
+from troutdock.http.bodies import Budget, budget_for, streams_for
+from troutdock.http.listener import Server
+from troutdock.http.transport import HttpTransport
+from troutdock.overload.lag import EVERY_S, Lag
+from troutdock.platform.clock import SystemClock
+
+log = logbook.Logger("espalier")
+
+OTHER_DESCRIPTORS = 350  # of the process: files, links, doors
+CONNECT_S = 0.5  # for a connection to a backend to come up
+IDLE_S = 10.0  # until a backend closes a connection that stands idle
+SWEEP_S = 0.25
+LOST_S = 60.0  # without an answer or a word for so long, a backend is forgotten
+SETTINGS_S = 2.0  # between two looks at the settings file, which may change without a signal
+DRAIN_MOST_S = 2.6  # after SIGTERM clients still come: two questions for readiness have to be missed
+LEFT_S = 0.4  # of the grace: kept for the end itself
+STATES = {0: BackendState.READY, 1: BackendState.DRAINING, 2: BackendState.GONE}
+NOTHING = Settings(
+    gateways=1,
+    index=0,
+    classes=(RequestClass(1000, 1000, 1, Effect.SAFE),),
+    plans=(Plan(0, 0),),
+    max_attempts=1,
+    start_capacity=1,
+    cold_ms=0,
+    fall_multiple=1,
+    overload_ms=1000,
+    drain_grace_ms=0,
+)
+
+
+class Recorder:
+    """The decision module, and after each event what it has changed that others are to know."""
+
+    def __init__(self, fabric: Fabric) -> None:
+        self.fabric = fabric
+        self.mesh: Mesh | None = None
+        self.instance_of: Mapping[int, bytes] = {}
+
+    @property
+    def settings(self) -> Settings:
+        return self.fabric.settings
+
+    def handle(self, now: float, event: Event) -> Actions:
+        fabric, mesh = self.fabric, self.mesh
+        actions = fabric.handle(now, event)
+        if mesh is not None:
+            if fabric.loads_changed:
+                for backend in fabric.loads_changed:
+                    if (instance := self.instance_of.get(backend)) is not None:
+                        mesh.load(instance.decode(), fabric.load(backend))
+                fabric.loads_changed.clear()
+            if fabric.tenants_changed:
+                for number in fabric.tenants_changed:
+                    if (tenant := fabric.tenants.get(number)) is not None:
+                        mesh.use(tenant.plan.name, tenant.used)
+                fabric.tenants_changed.clear()
+        return actions
+
+
+class Ingress:
+    """One proxy; it belongs to the event loop that runs."""
+
+    def __init__(self, boot: Boot, path: str, life: int) -> None:
+        self._boot, self._path = boot, path
+        self._loop = asyncio.get_running_loop()
+        self._hello = Hello(ROLE, boot.name, boot.ip, boot.zone, life)
+        random = Random(f"{boot.name} {life}")
+        values = boot.values
+        zones = sorted({*values["zones"], boot.zone})
+        self._zones = {zone: number for number, zone in enumerate(zones)}
+        self.fabric = Fabric(
+            NOTHING,
+            random.getrandbits(32),
+            self._zones[boot.zone],
+            values["bounds.retryRatio"],
+            values["bounds.retryAllowance"],
+            boot.bootstrap,
+        )
+        self._decides = Recorder(self.fabric)
+        self.clock = SystemClock()
+        self.engine = Engine(NOTHING, 0, self.clock, self._loop, self._decides)
+        self.engine.relays_failures = True
+        self.lag = Lag(self.clock.now)
+        descriptors = max(64, values["limits.fileDescriptors"] - OTHER_DESCRIPTORS)
+        self.transport = HttpTransport(
+            descriptors // 2,
+            CONNECT_S,
+            IDLE_S,
+            self.engine.attempt_ended,
+            lag=self.lag,
+            streams=self.engine,
+            verdict=verdict,
+        )
+        self.book = Book()
+        self._numbers: dict[str, int] = {}  # of instances
+        self._instance_of: dict[int, bytes] = {}
+        self._decides.instance_of = self._instance_of
+        self._pools: dict[str, int] = {}  # of services
+        self._tenants: dict[str, int] = {}  # numbers
+        self.reader = SystemReader(self._pool_of, self._instance_of.__getitem__, random)
+        memory = values["limits.memoryMb"]
+        self.server = Server(
+            self.engine,
+            self.reader,
+            descriptors // 2,
+            self.lag,
+            bodies=Budget(budget_for(memory)),
+            max_streams=streams_for(memory),
+        )
+        self.server.health_path = None
+        self.server.passes = passes
+        self.server.drain_accept_s = self.server.drain_most_s = DRAIN_MOST_S
+        self.feed = Feed(boot, self._hello, self._heard, self._followed)
+        self.mesh = Mesh(boot, self._hello, self._others, self._told_level, self._levels, self._company)
+        self._decides.mesh = self.mesh
+        self._readiness = CallServer(self._ready, 1024)
+        self._synced = False  # the newest configuration has been here once
+        self._ending = False
+        self._tasks: list[asyncio.TimerHandle] = []
+
+    async def start(self, http: Address, readiness: Address, inner: Address) -> Address:
+        """Open the doors and begin to follow the news; gives the clients' address."""
+        await self._readiness.listen(readiness)
+        address = self.server.listen(http)
+        await self.mesh.start(inner)
+        self.feed.start()
+        self._sweep()
+        self._sample()
+        self._look_at_settings()
+        log.info("Serves at {}:{}.", *address)
+        return address
+
+    # ---- readiness
+
+    @property
+    def ready(self) -> bool:
+        """Wants clients: it has had the newest configuration, and knows a backend."""
+        return self._synced and not self._ending and bool(self._numbers) and self.reader.table is not None
+
+    async def _ready(self, call: Call) -> Reply:
+        return Reply(200 if self.ready else 503)
+
+    # ---- news
+
+    def _followed(self, link: Link) -> None:
+        """A registry is followed anew: it may have lost what this ingress knows."""
+        now = self._loop.time()
+        known = self.book.told(now)
+        if known:
+            link.send(Instances(known))
+
+    def _heard(self, message: Message) -> None:
+        match message:
+            case Config(version, body):
+                self._configure(version, bytes(body))
+            case Instances(entries):
+                self._instances(self.book.hear(self._loop.time(), entries))
+            case Silence(silent, back):
+                for ids, is_silent in ((silent, True), (back, False)):
+                    for id in ids:
+                        if (number := self._numbers.get(id)) is not None:
+                            self._tell(Suspected(number, is_silent))
+            case Members():
+                self.mesh.listed(message)
+            case Fresh(fresh, version):
+                own = self.reader.table.version if self.reader.table is not None else 0
+                if fresh and own >= version and own:
+                    if not self._synced:
+                        log.info("Ready with r{}.", own)
+                    self._synced = True
+            case _:
+                pass
+
+    def _configure(self, version: int, body: bytes) -> None:
+        """A configuration that is in force: swapped in one step, never for an older one."""
+        if self.reader.table is not None and version <= self.reader.table.version:
+            return
+        found = read_configuration(body)
+        if isinstance(found, Refused):
+            log.error("Configuration r{} can't be read: {}", version, found)
+            return
+        table = Table(found, self._tenants)
+        for service in found.services:
+            self._pool_of(service)
+        self.engine.reconfigure(table.settings)
+        self.reader.table = table
+        self.server.head_s = found.limits.header_ms / 1000
+        self.server.idle_s = found.limits.idle_ms / 1000
+        log.info("Configuration r{}: {} routes.", version, len(found.routes))
+
+    def _pool_of(self, service: str) -> int:
+        number = self._pools.get(service)
+        if number is None:
+            number = self._pools[service] = self.engine.add_pool(self.transport)
+        return number
+
+    def _instances(self, risen: list[Entry]) -> None:
+        """Backends that are new, drain or have gone."""
+        now, clock = self._loop.time(), self.clock.now()
+        for entry in risen:
+            number = self._numbers.get(entry.id)
+            if number is None:
+                if entry.state == GONE:
+                    continue
+                number = self._numbers[entry.id] = len(self._instance_of) + 1
+                self._instance_of[number] = entry.id.encode()
+            try:
+                address = parse_address(entry.address)
+            except ValueError:
+                continue
+            warm_at = clock + max(0.0, entry.warm_at - now) * 1000 if entry.warm_at > now else 0.0
+            told = BackendEntry(
+                number,
+                STATES[entry.state],
+                self._zones.setdefault(entry.zone, len(self._zones)),
+                size=entry.slots,
+                warm_at_ms=warm_at,
+            )
+            self.engine.fleet(
+                FleetUpdate(ListKind.CHANGES, [told], pool=self._pool_of(entry.service)), {number: address}
+            )
+            if entry.state == GONE:
+                del self._numbers[entry.id]
+
+    # ---- other ingresses
+
+    def _tell(self, event: Event) -> None:
+        self._decides.handle(self.clock.now(), event)
+
+    def _others(self, news: News) -> None:
+        for origin, out in news.out.items():
+            found = {self._numbers[id]: count for id, count in out.items() if id in self._numbers}
+            if found:
+                self._tell(OthersLoad(origin, found))
+        used = {
+            self._tenants[name]: float(count) for name, count in news.used.items() if name in self._tenants
+        }
+        if used:
+            self._tell(OthersUse(used))
+
+    def _told_level(self, level: dict[str, float]) -> None:
+        self._tell(
+            Level(
+                {self._tenants.setdefault(name, len(self._tenants) + 1): left for name, left in level.items()}
+            )
+        )
+
+    def _levels(self) -> dict[str, float]:
+        return {tenant.plan.name: tenant.level for tenant in self.fabric.tenants.values() if tenant.plan.rate}
+
+    def _company(self, ingresses: int, heard: int) -> None:
+        self._tell(Company(ingresses, heard))
+
+    # ---- time
+
+    def _sweep(self) -> None:
+        self.server.sweep()
+        self.transport.sweep()
+        self._loop.call_later(SWEEP_S, self._sweep)
+
+    def _sample(self) -> None:
+        self.lag.sample()
+        self._loop.call_later(EVERY_S, self._sample)
+
+    def _look_at_settings(self) -> None:
+        """The file may change without a signal; what can change in service is who the seeds are."""
+        self.reload(quiet=True)
+        self._loop.call_later(SETTINGS_S, self._look_at_settings)
+
+    def reload(self, quiet: bool = False) -> None:
+        """Read the settings again; a bad file is logged and changes nothing."""
+        try:
+            boot = load_boot(self._path)
+        except SettingsError as error:
+            log.error("Settings stay as they were: {}", error)
+            return
+        self.feed.learn({host: self.feed.registries.get(host, "") for host, _ in boot.seeds})
+        if not quiet:
+            log.info("Settings read again.")
+
+    async def end(self, grace_s: float) -> None:
+        """SIGTERM: take no more clients once the platform has noticed, answer all that was taken."""
+        self._ending = True
+        log.info("Ends: {} requests open.", self.engine.open)
+        try:
+            async with asyncio.timeout(max(0.1, grace_s - LEFT_S)):
+                await self.server.drain()
+        except TimeoutError:
+            log.warn("Grace is over: {} requests open.", self.engine.open)
+        self.engine.close()
+        self.feed.close()
+        self.mesh.close()
+        self._readiness.close()
+        self.transport.close()
--- /dev/null
+++ b/espalier/mesh.py
@@ -0,0 +1,201 @@
+"""The links of an ingress to others: its zone's, and as its zone's speaker those of other zones.
+
+The loop round espalier.shares. Of two ingresses the one with the lower address dials. Other zones are
+dialled by the speaker only; who is dialled takes part whatever it thinks of its own part.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
+from almanac.boot import Boot
+from espalier.shares import Exchange, News
+from furrow.link import Address, Dialer, Link, Listener
+from furrow.messages import Hello, Member, Members, Message, Shares, encode
+from pollen.order import in_order
+
+log = logbook.Logger("mesh")
+
+ROLE = "espalier"
+PORT = 0  # of the system's own ports
+ZONE_S, AWAY_S = 0.008, 0.04  # how long changes are gathered for neighbours in the zone, and for other zones
+LOOK_S = 0.25  # between two looks at who is to be linked
+HERE_BEFORE_S = 1.5  # after the start: by then neighbours have told what was before
+
+
+class Mesh:
+    """It belongs to the event loop that runs."""
+
+    def __init__(
+        self,
+        boot: Boot,
+        hello: Hello,
+        heard: Callable[[News], None],
+        told_level: Callable[[dict[str, float]], None],
+        levels: Callable[[], dict[str, float]],
+        company: Callable[[int, int], None],
+    ) -> None:
+        """heard: what others' messages bring. told_level, levels: of tenants, from and for newcomers."""
+        self._boot, self._hello = boot, hello
+        self._on_news, self._told_level, self._levels, self._company = heard, told_level, levels, company
+        self._loop = asyncio.get_running_loop()
+        self.exchange = Exchange(boot.name, boot.ip, boot.zone, hello.life)
+        self._dialers: dict[str, Dialer] = {}  # by name
+        self._links: dict[Link, None] = {}
+        self._zones: dict[str, str] = {}
+        self._listener = Listener(lambda: Link(hello, self._heard, self._up, self._down))
+        self._zone_due = False
+        self._timers: list[asyncio.TimerHandle] = []
+        self._began = self._loop.time()
+        self._told = (0, 0)
+
+    async def start(self, address: Address) -> None:
+        """Open the door to other ingresses."""
+        await self._listener.listen(address)
+        self._look()
+        self._away()
+
+    def listed(self, members: Members) -> None:
+        """The registry's list of ingresses."""
+        self.exchange.listed(self._loop.time(), members.entries, members.gone, members.full)
+        for member in members.entries:
+            self._zones[member.name] = member.zone
+        self._dial()
+        self._tell_company()
+
+    # ---- own numbers
+
+    def load(self, instance: str, count: int) -> None:
+        """Own open attempts at a backend have changed."""
+        self.exchange.load(instance, count)
+        self._soon()
+
+    def use(self, tenant: str, count: int) -> None:
+        """A tenant's requests were let in."""
+        self.exchange.use(tenant, count)
+        self._soon()
+
+    def _soon(self) -> None:
+        if not self._zone_due:
+            self._zone_due = True
+            self._loop.call_later(ZONE_S, self._tell_zone)
+
+    def _tell_zone(self) -> None:
+        self._zone_due = False
+        shares = self.exchange.for_zone()
+        if shares is not None:
+            payload = encode(shares)
+            for link in list(self._links):
+                if link.peer is not None and link.peer.zone == self._boot.zone:
+                    link.send_payload(payload)
+
+    def _away(self) -> None:
+        shares = self.exchange.for_away(self._loop.time())
+        away = [link for link in self._links if link.peer is not None and link.peer.zone != self._boot.zone]
+        if shares is not None and away:
+            payload = encode(shares)
+            for link in away:
+                link.send_payload(payload)
+        self._timers[:] = [self._loop.call_later(AWAY_S, self._away)]
+
+    # ---- links
+
+    def _neighbours(self) -> list[str]:
+        """In the zone, linked."""
+        return [
+            link.peer.name
+            for link in self._links
+            if link.peer is not None and link.peer.zone == self._boot.zone
+        ]
+
+    def _dial(self) -> None:
+        wanted: dict[str, Member] = {}
+        members = self.exchange.members
+        for member in members.values():
+            if member.zone == self._boot.zone:
+                wanted[member.name] = member
+        if self.exchange.speaker(self._neighbours()):
+            for zone in {m.zone for m in members.values()} - {self._boot.zone}:
+                there = {m.name: m for m in members.values() if m.zone == zone}
+                # the first in the order that answers; one that can't be reached makes room for the next
+                for name in in_order("speaker" + zone, there):
+                    wanted[name] = there[name]
+                    dialer = self._dialers.get(name)
+                    if dialer is None or dialer.up or not dialer.tried:
+                        break
+        for name, dialer in list(self._dialers.items()):
+            if name not in wanted or wanted[name].ip != dialer.address[0]:
+                dialer.close()
+                del self._dialers[name]
+        for name, member in wanted.items():
+            lower = self._boot.ip < member.ip
+            if name not in self._dialers and (lower or member.zone != self._boot.zone):
+                if member.zone != self._boot.zone and not lower and self._linked(member.zone):
+                    continue  # its speaker has dialled
+                self._dialers[name] = Dialer(
+                    (member.ip, member.port), self._hello, self._heard, self._up, self._down
+                )
+
+    def _linked(self, zone: str) -> bool:
+        return any(link.peer is not None and link.peer.zone == zone for link in self._links)
+
+    def _up(self, link: Link) -> None:
+        peer = link.peer
+        assert peer is not None
+        if peer.role != ROLE:
+            link.cut()
+            return
+        self._zones[peer.name] = peer.zone
+        self._links[link] = None
+        away = peer.zone != self._boot.zone
+        link.send(self.exchange.full(self._loop.time(), self._levels(), away))
+
+    def _down(self, link: Link) -> None:
+        if link in self._links:
+            del self._links[link]
+            if link.peer is not None and link.peer.zone == self._boot.zone:
+                self._on_news(self.exchange.forget(self._loop.time(), link.peer.name))
+
+    def _heard(self, link: Link, message: Message) -> None:
+        if not isinstance(message, Shares) or link.peer is None:
+            return
+        now = self._loop.time()
+        news = self.exchange.hear(now, message, link.peer.zone, lambda name: self._zones.get(name, ""))
+        if message.level:
+            self._told_level(message.level)
+        if news.out or news.used:
+            self._on_news(news)
+        if link.peer.zone != self._boot.zone:
+            self._soon()
+
+    def _look(self) -> None:
+        now = self._loop.time()
+        for name in self._neighbours():
+            self.exchange.alive(now, name)
+        if not self.exchange.settled and now - self._began > HERE_BEFORE_S:
+            self.exchange.settled = True
+        news = self.exchange.forget(now)
+        if news.out:
+            self._on_news(news)
+        self._dial()
+        self._tell_company()
+        self._loop.call_later(LOOK_S, self._look)
+
+    def _tell_company(self) -> None:
+        company = self.exchange.company(self._loop.time())
+        if company != self._told:
+            self._told = company
+            self._company(*company)
+
+    def close(self) -> None:
+        """End in order."""
+        for timer in self._timers:
+            timer.cancel()
+        self._listener.close()
+        for dialer in self._dialers.values():
+            dialer.close()
+        for link in list(self._links):
+            link.cut()
--- /dev/null
+++ b/furrow/__init__.py
@@ -0,0 +1,1 @@
+"""What the system's processes say to each other: netstrings of JSON on TCP, and calls from outside."""
--- /dev/null
+++ b/furrow/calls.py
@@ -0,0 +1,192 @@
+"""Calls from outside over HTTP/1.1: many on a connection, each with a whole body, one answer each.
+
+What a call means is its handler's; here are framing and bounds. Callers are machines that try elsewhere
+after a second of silence, so whatever can't be answered is answered with 503 at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, NamedTuple, cast
+
+import httptools
+import logbook
+
+from furrow.link import Address
+
+log = logbook.Logger("calls")
+
+CALLERS = 512  # connections at once; the one that has been here longest without a call under way makes room
+MAX_HEAD = 16 * 1024  # bytes
+MAX_BODY = 64 * 1024 * 1024 + 4096  # bytes: the longest configuration
+IDLE_S = 30.0  # a connection between calls is closed after this
+_WORDS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class Reply(NamedTuple):
+    """status; body: JSON or nothing; location: of a redirect."""
+
+    status: int
+    body: bytes = b""
+    location: str = ""
+
+
+class Call(NamedTuple):
+    """One call. path: without its query."""
+
+    method: bytes
+    path: bytes
+    body: bytes
+
+
+Handler = Callable[[Call], Awaitable[Reply]]
+
+
+class CallServer:
+    """Listens until it is closed."""
+
+    def __init__(self, handler: Handler, max_body: int = MAX_BODY) -> None:
+        self.handler, self.max_body = handler, max_body
+        self.callers: dict[_Caller, None] = {}
+        self._server: asyncio.Server | None = None
+        self._sweep: asyncio.TimerHandle | None = None
+
+    async def listen(self, address: Address) -> Address:
+        """Open it; gives the address, with the port that the system chose for 0. OSError if it is taken."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Caller(self), *address, backlog=512)
+        self._look()
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        for caller in list(self.callers):
+            caller.sweep(loop.time())
+        self._sweep = loop.call_later(1.0, self._look)
+
+    def admit(self, caller: _Caller) -> None:
+        """A connection is here."""
+        if len(self.callers) >= CALLERS:
+            spare = next((c for c in self.callers if not c.busy), None)
+            if spare is not None:
+                spare.leave()
+        self.callers[caller] = None
+
+    def close(self) -> None:
+        """No more calls."""
+        if self._server is not None:
+            self._server.close()
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for caller in list(self.callers):
+            caller.leave()
+
+
+class _Caller(asyncio.Protocol):
+    """One connection; calls that stand in a row are answered in their order."""
+
+    def __init__(self, server: CallServer) -> None:
+        self._server = server
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport
+        self._waiting: deque[tuple[Call, bool]] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._quiet_since = asyncio.get_running_loop().time()
+        self._clear()
+
+    def _clear(self) -> None:
+        self._url, self._size, self._head = b"", 0, 0
+        self._body: list[bytes] = []
+
+    @property
+    def busy(self) -> bool:
+        """A call is under way."""
+        return self._task is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        self._server.admit(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.callers.pop(self, None)
+        self._parser = None  # it holds this caller
+
+    def sweep(self, now: float) -> None:
+        """Close what stands idle."""
+        if not self.busy and now - self._quiet_since > IDLE_S:
+            self.leave()
+
+    def leave(self) -> None:
+        """Its place is needed, or the server closes."""
+        self._server.callers.pop(self, None)
+        self._transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None or self._transport.is_closing():
+            return
+        self._quiet_since = asyncio.get_running_loop().time()
+        self._head += len(data)
+        try:
+            self._parser.feed_data(data)
+            if self._head - self._size > MAX_HEAD + self._size:
+                self._end(431)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._end(413 if isinstance(error.__context__, OverflowError) else 400)
+
+    def _end(self, status: int) -> None:
+        self._write(Reply(status), False)
+        self._transport.close()
+
+    # ---- called by the parser
+
+    def on_message_begin(self) -> None:
+        self._clear()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > self._server.max_body:
+            raise OverflowError
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        call = Call(self._parser.get_method(), self._url.partition(b"?")[0], b"".join(self._body))
+        self._waiting.append((call, self._parser.should_keep_alive()))
+        self._clear()
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    async def _serve(self) -> None:
+        try:
+            while self._waiting and not self._transport.is_closing():
+                call, keeps = self._waiting.popleft()
+                try:
+                    reply = await self._server.handler(call)
+                except Exception:  # guards the process: only this call fails
+                    log.exception("Call failed: {}.", call.path.decode(errors="replace"))
+                    reply = Reply(500)
+                self._write(reply, keeps)
+                if not keeps:
+                    self._transport.close()
+        finally:
+            self._task = None
+            self._quiet_since = asyncio.get_running_loop().time()
+
+    def _write(self, reply: Reply, keeps: bool) -> None:
+        lines = [
+            b"HTTP/1.1 %d %b" % (reply.status, _WORDS.get(reply.status, b"")),
+            b"Content-Length: %d" % len(reply.body),
+        ]
+        if reply.body:
+            lines.append(b"Content-Type: application/json")
+        if reply.location:
+            lines.append(b"Location: " + reply.location.encode())
+        if not keeps:
+            lines.append(b"Connection: close")
+        self._transport.write(b"\r\n".join([*lines, b"", reply.body]))
--- /dev/null
+++ b/furrow/messages.py
@@ -0,0 +1,301 @@
+"""All that the system's processes say to each other, as types that both sides import.
+
+On the wire each is one netstring with a JSON object whose "t" names its type. Times are seconds, and spans,
+never moments: processes share no clock. An unknown field is dropped, so that a newer sender is understood.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+NOTHING = msgspec.Raw(b"null")  # in place of a configuration
+READY, DRAINING, GONE = 0, 1, 2  # states of an instance; they rise only
+
+
+class MessageError(ValueError):
+    """The payload is none of the messages that both sides know."""
+
+
+class Hello(Struct, tag="hello", tag_field="t"):
+    """The first on a connection. role: a program's name; ip: its machine; life: of this process, a number."""
+
+    role: str
+    name: str
+    ip: str
+    zone: str
+    life: int
+
+
+class Ping(Struct, tag="ping", tag_field="t"):
+    """Nothing but a sign of life."""
+
+
+# ---- instances and members: registry to registry, and to ingresses
+
+
+class Instance(Struct, array_like=True):
+    """A backend.
+
+    warm_s: how much longer it is slow, when this was said; slots: requests it works on at once.
+    """
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: int
+    warm_s: float = 0.0
+
+
+class Instances(Struct, tag="inst", tag_field="t"):
+    """What is known of backends. number: to be confirmed with Heard, where it is not 0."""
+
+    entries: list[Instance]
+    number: int = 0
+
+
+class Heard(Struct, tag="heard", tag_field="t"):
+    """The Instances of this number are known here now."""
+
+    number: int
+
+
+class Beats(Struct, tag="beats", tag_field="t"):
+    """Instances that have called the sender since it last told."""
+
+    ids: list[str]
+
+
+class Silence(Struct, tag="silence", tag_field="t"):
+    """Instances whose calls have stopped, and those whose calls have come again."""
+
+    silent: list[str]
+    back: list[str]
+
+
+class Member(Struct, array_like=True):
+    """An ingress. port: of its side of the system's own protocol."""
+
+    name: str
+    ip: str
+    port: int
+    zone: str
+    life: int
+
+
+class Members(Struct, tag="members", tag_field="t"):
+    """Ingresses that are there. full: all that the sender knows, so that others are gone."""
+
+    entries: list[Member]
+    gone: list[str] = []
+    full: bool = False
+
+
+# ---- configurations
+
+
+class Config(Struct, tag="config", tag_field="t"):
+    """A configuration that is in force. body: the operator's own bytes, JSON."""
+
+    version: int
+    body: msgspec.Raw
+
+
+class Fresh(Struct, tag="fresh", tag_field="t"):
+    """Whether the sender is in touch with the store's primary, whose newest configuration is this version."""
+
+    fresh: bool
+    version: int
+
+
+class Put(Struct, tag="put", tag_field="t"):
+    """Registry to primary: keep this. number: of the call, for Done."""
+
+    number: int
+    version: int
+    body: msgspec.Raw
+
+
+class Done(Struct, tag="done", tag_field="t"):
+    """It is kept twice (or a version as high is); else why it is not."""
+
+    number: int
+    ok: bool
+    why: str = ""
+
+
+class Read(Struct, tag="read", tag_field="t"):
+    """Registry to primary: which configuration is the newest, proven now?"""
+
+    number: int
+
+
+class ReadDone(Struct, tag="readdone", tag_field="t"):
+    """version 0: there is none yet; below 0: not to be told here, and why."""
+
+    number: int
+    version: int
+    body: msgspec.Raw = NOTHING
+    why: str = ""
+
+
+# ---- replicas of the store among themselves
+
+
+class Record(Struct, array_like=True):
+    """Who keeps the configurations under an epoch."""
+
+    epoch: int
+    primary: str
+    backup: str
+
+
+class Status(Struct, tag="status", tag_field="t"):
+    """What a replica is, several times a second; active: it is the primary and acknowledges.
+
+    blank: it has lost its disk and promises nothing; voters: whose promises count.
+    """
+
+    promised: int
+    record: Record | None
+    version: int
+    active: bool
+    blank: bool
+    voters: list[str]
+
+
+class Prepare(Struct, tag="prepare", tag_field="t"):
+    """Promise to follow nobody below this epoch."""
+
+    epoch: int
+
+
+class Promise(Struct, tag="promise", tag_field="t"):
+    """The answer to Prepare; ok false: promised tells what was promised before, 0 that the primary lives."""
+
+    epoch: int
+    ok: bool
+    promised: int
+    record: Record | None
+
+
+class Copy(Struct, tag="copy", tag_field="t"):
+    """Primary to backup: keep this configuration under this epoch. version 0: there is none yet.
+
+    whole: it takes the place of whatever is there (a snapshot), and the receiver is the backup from now on.
+    """
+
+    epoch: int
+    version: int
+    body: msgspec.Raw
+    whole: bool
+
+
+class Copied(Struct, tag="copied", tag_field="t"):
+    """It is on the backup's disk; ok false: promised tells why not."""
+
+    epoch: int
+    version: int
+    ok: bool
+    promised: int
+
+
+class Accept(Struct, tag="accept", tag_field="t"):
+    """Keep this record as the newest."""
+
+    record: Record
+
+
+class Accepted(Struct, tag="accepted", tag_field="t"):
+    """The record is on the voter's disk; ok false: promised tells why not."""
+
+    epoch: int
+    ok: bool
+    promised: int
+
+
+class Prove(Struct, tag="prove", tag_field="t"):
+    """Primary to voters: is this epoch still the newest? number: of the question."""
+
+    epoch: int
+    number: int
+
+
+class Proven(Struct, tag="proven", tag_field="t"):
+    """The answer to Prove."""
+
+    epoch: int
+    number: int
+    ok: bool
+
+
+# ---- ingresses among themselves
+
+
+class Share(Struct, array_like=True):
+    """What one ingress has told of itself since the last time.
+
+    origin: its machine; life: of its process. out: open attempts by instance, as numbers that hold now. used:
+    admitted requests by tenant, counted since the start of that life.
+    """
+
+    origin: str
+    life: int
+    out: dict[str, int] = {}
+    used: dict[str, int] = {}
+
+
+class Shares(Struct, tag="shares", tag_field="t"):
+    """Shares of one or several ingresses.
+
+    full: all of each; level: what the sender thinks is left by tenant.
+    """
+
+    entries: list[Share]
+    full: bool = False
+    level: dict[str, float] = {}
+
+
+Message = (
+    Hello
+    | Ping
+    | Instances
+    | Heard
+    | Beats
+    | Silence
+    | Members
+    | Config
+    | Fresh
+    | Put
+    | Done
+    | Read
+    | ReadDone
+    | Status
+    | Prepare
+    | Promise
+    | Copy
+    | Copied
+    | Accept
+    | Accepted
+    | Prove
+    | Proven
+    | Shares
+)
+
+_encoder = msgspec.json.Encoder()
+_decoder: msgspec.json.Decoder[Message] = msgspec.json.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """The payload of a netstring."""
+    return _encoder.encode(message)
+
+
+def decode(payload: bytes) -> Message:
+    """The message of a payload; MessageError if it is none."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise MessageError(str(error)) from error
--- /dev/null
+++ b/hedgerow/__main__.py
@@ -0,0 +1,28 @@
+"""Start, signals and the end of the registry: python -m hedgerow."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+from almanac.boot import Boot
+from almanac.program import life_of_now, run
+from hedgerow.daemon import PORT, Daemon
+
+
+async def main(boot: Boot, path: str) -> int:
+    """Until SIGTERM or SIGINT."""
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    daemon = Daemon(boot, life_of_now())
+    await daemon.start(boot.listen["controlPlane"], (boot.ip, boot.port(PORT)))
+    await stop.wait()
+    daemon.close()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run("hedgerow", main))
--- /dev/null
+++ b/hedgerow/calls.py
@@ -0,0 +1,136 @@
+"""The outside calls, one handler object for each resource: instances and the configuration."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+
+from almanac.configuration import Refused, read_configuration
+from almanac.settings import Setting, SettingsError, Table, address, number, one_of, or_none, text, whole
+from furrow.calls import Call, Reply
+from furrow.messages import DRAINING, GONE, READY, Instance
+
+MAX_BEAT = 4096  # bytes of a backend's call
+_STATES = {"available": READY, "draining": DRAINING}
+_ID = re.compile(r"[\x21-\x2e\x30-\x7e]{1,128}")
+
+BEAT = Table(
+    Setting("service", text, about="whose backend it is"),
+    Setting("address", address, about="where it serves"),
+    Setting("zone", or_none(text), ""),
+    Setting("capacity", whole(1), 1, "requests at once"),
+    Setting("state", one_of(*_STATES), "available"),
+    Setting("warmupLeftS", or_none(number(0)), 0),
+    Setting("callCount", whole(0), 0, "rises with each call"),
+)
+
+
+def refusal(status: int, why: str) -> Reply:
+    """An answer that says what is wrong."""
+    return Reply(status, msgspec.json.encode({"error": why}))
+
+
+class Registry(Protocol):
+    """What the calls need of the registry."""
+
+    async def beat(self, instance: Instance, count: int) -> str | None:
+        """A backend's call is known, what must last at a second machine too; None if it is not.
+
+        Gives where later calls are better made, or nothing.
+        """
+
+    async def put(self, version: int, body: bytes) -> str | None:
+        """Keep a configuration; None once it is kept, else why it is not."""
+
+    async def newest(self) -> tuple[int, bytes] | str:
+        """The newest configuration that is in force, or why it can't be told here."""
+
+
+class InstanceCalls:
+    """`POST /instances/ID/heartbeat` and `POST /instances/ID/deregister`."""
+
+    def __init__(self, registry: Registry, known: Callable[[str], Instance | None]) -> None:
+        self._registry, self._known = registry, known
+
+    async def heartbeat(self, id: str, body: bytes) -> Reply:
+        """Alive, or draining."""
+        if len(body) > MAX_BEAT:
+            return refusal(413, f"{MAX_BEAT} bytes at most")
+        try:
+            found = BEAT.read(msgspec.json.decode(body))
+        except (msgspec.MsgspecError, UnicodeDecodeError, SettingsError) as error:
+            return refusal(400, str(error))
+        instance = Instance(
+            id,
+            found["service"],
+            found["address"],
+            found["zone"] or "",
+            found["capacity"],
+            _STATES[found["state"]],
+            float(found["warmupLeftS"] or 0),
+        )
+        target = await self._registry.beat(instance, found["callCount"])
+        if target is None:
+            return refusal(503, "no second machine knows it")
+        return Reply(200, msgspec.json.encode({"heartbeatTarget": target} if target else {}))
+
+    async def deregister(self, id: str, body: bytes) -> Reply:
+        """Gone for good; one that was never heard of is gone as well."""
+        known = self._known(id)
+        if known is not None:
+            gone = msgspec.structs.replace(known, state=GONE, warm_s=0.0)
+            if await self._registry.beat(gone, -1) is None:
+                return refusal(503, "no second machine knows it")
+        return Reply(200)
+
+
+class ConfigurationCalls:
+    """`POST /configuration/replace` and `GET /configuration/describe`."""
+
+    def __init__(self, registry: Registry) -> None:
+        self._registry = registry
+
+    async def replace(self, body: bytes) -> Reply:
+        """A complete configuration; acknowledged once two disks have it, or one that is as new."""
+        found = read_configuration(body)
+        if isinstance(found, Refused):
+            return refusal(400, str(found))
+        why = await self._registry.put(found.version, body)
+        return Reply(200) if why is None else refusal(503, why)
+
+    async def describe(self) -> Reply:
+        """The newest, as it was sent."""
+        found = await self._registry.newest()
+        if isinstance(found, str):
+            return refusal(503, found)
+        return Reply(200, found[1]) if found[0] else refusal(404, "no configuration yet")
+
+
+class Outside:
+    """Which call goes to which handler."""
+
+    def __init__(self, instances: InstanceCalls, configuration: ConfigurationCalls) -> None:
+        self._instances, self._configuration = instances, configuration
+
+    async def handle(self, call: Call) -> Reply:
+        """Answer one call."""
+        parts = call.path.decode("latin-1").split("/")[1:]
+        if len(parts) == 3 and parts[0] == "instances" and _ID.fullmatch(parts[1]):
+            does: dict[str, Callable[[str, bytes], Awaitable[Reply]]] = {
+                "heartbeat": self._instances.heartbeat,
+                "deregister": self._instances.deregister,
+            }
+            if (handler := does.get(parts[2])) is not None:
+                return await handler(parts[1], call.body) if call.method == b"POST" else refusal(405, "POST")
+        if parts == ["configuration", "replace"]:
+            return (
+                await self._configuration.replace(call.body)
+                if call.method == b"POST"
+                else refusal(405, "POST")
+            )
+        if parts == ["configuration", "describe"]:
+            return await self._configuration.describe() if call.method == b"GET" else refusal(405, "GET")
+        return refusal(404, "no such call")
--- /dev/null
+++ b/pollen/order.py
@@ -0,0 +1,21 @@
+"""Who does a duty: the first live one in an order that all agree on without talk (no I/O, no clock)."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+
+def rank(duty: str, name: str) -> bytes:
+    """Where a name stands in a duty's order: the same everywhere, another order for each duty."""
+    return blake2b(name.encode(), key=duty.encode()[:64], digest_size=8).digest()
+
+
+def in_order(duty: str, names: Iterable[str]) -> list[str]:
+    """The names in the duty's order."""
+    return sorted(names, key=lambda name: (rank(duty, name), name))
+
+
+def first(duty: str, names: Iterable[str]) -> str | None:
+    """Who does the duty among these."""
+    return min(names, key=lambda name: (rank(duty, name), name), default=None)
--- /dev/null
+++ b/rootstock/daemon.py
@@ -0,0 +1,184 @@
+"""The store's loop: links of replicas and registries, the disk, and time, round rootstock.replica."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+import msgspec
+
+from almanac.boot import Boot
+from furrow.link import Address, Dialer, Link, Listener
+from furrow.messages import (
+    Accept,
+    Accepted,
+    Config,
+    Copied,
+    Copy,
+    Fresh,
+    Hello,
+    Message,
+    Prepare,
+    Promise,
+    Prove,
+    Proven,
+    Put,
+    Read,
+    Status,
+)
+from rootstock.disk import Disk, DiskError
+from rootstock.replica import Action, InForce, Log, Replica, Save, Send
+
+log = logbook.Logger("rootstock")
+
+ROLE = "rootstock"
+PORT = 1  # of the system's own ports
+TICK_S = 0.05
+REOPEN_S = 0.5  # between two tries of a disk that refuses
+_OF_REPLICAS = (Status, Prepare, Promise, Copy, Copied, Accept, Accepted, Prove, Proven)
+
+
+class Store:
+    """One process of the store; it belongs to the event loop that runs."""
+
+    def __init__(self, boot: Boot, life: int) -> None:
+        self._boot = boot
+        self.me = boot.ip
+        self._hello = Hello(ROLE, boot.name, boot.ip, boot.zone, life)
+        self._seeds = [host for host, _ in boot.seeds]
+        self._disk = Disk(boot.data)
+        self._replica: Replica | None = None
+        self._zones = {boot.ip: boot.zone}
+        self._dialers: dict[str, Dialer] = {}
+        self._registries: dict[Link, None] = {}
+        self._callers: dict[str, Link] = {}  # registries by the name that the replica knows them by
+        self._listener = Listener(self._accepted)
+        self._timer: asyncio.TimerHandle | None = None
+        self._config: tuple[int, bytes] = (0, b"")
+        self._first = boot.bootstrap
+        self._fresh = False
+
+    async def start(self, address: Address) -> Address:
+        """Open the disk and the door; gives the address."""
+        self._open_disk()
+        bound = await self._listener.listen(address)
+        for seed in self._seeds:
+            self.meet(seed, bound[1])
+        self._tick()
+        return bound
+
+    def _open_disk(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            kept = self._disk.open()
+        except DiskError as error:
+            log.error("Disk: {}. It is tried again.", error)
+            loop.call_later(REOPEN_S, self._open_disk)
+            return
+        if self._disk.set_aside is not None:
+            log.error("Disk: a damaged file was set aside as {}.", self._disk.set_aside.name)
+            self._disk.set_aside = None
+        first, self._first = self._first, False
+        self._replica = Replica(
+            self.me, self._seeds, kept, first, loop.time(), lambda ip: self._zones.get(ip, "")
+        )
+        for ip in self._dialers:
+            self._replica.meet(ip)
+        self._carry_out(self._replica.take())
+
+    def meet(self, ip: str, port: int) -> None:
+        """Another machine of the core."""
+        if ip == self.me or ip in self._dialers:
+            return
+        self._dialers[ip] = Dialer((ip, port), self._hello, self._heard, self._up)
+        if self._replica is not None:
+            self._replica.meet(ip)
+
+    def _accepted(self) -> Link:
+        return Link(self._hello, self._heard, self._up, self._down)
+
+    def _up(self, link: Link) -> None:
+        peer = link.peer
+        assert peer is not None
+        self._zones[peer.ip] = peer.zone
+        if peer.role == ROLE:
+            self.meet(peer.ip, self._boot.port(PORT))
+            return
+        self._registries[link] = None
+        self._callers[f"@{peer.ip}"] = link
+        link.send(Fresh(self._fresh, self._config[0]))
+        self._show(link)
+
+    def _down(self, link: Link) -> None:
+        self._registries.pop(link, None)
+        if link.peer is not None and self._callers.get(f"@{link.peer.ip}") is link:
+            del self._callers[f"@{link.peer.ip}"]
+
+    def _heard(self, link: Link, message: Message) -> None:
+        if self._replica is None or link.peer is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if link.peer.role == ROLE:
+            if isinstance(message, _OF_REPLICAS):
+                self._carry_out(self._replica.hear(now, link.peer.ip, message))
+        elif isinstance(message, Put | Read):
+            self._carry_out(self._replica.hear(now, f"@{link.peer.ip}", message))
+
+    def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self._replica is not None:
+            self._carry_out(self._replica.tick(loop.time()))
+        self._tell_fresh()
+        self._timer = loop.call_later(TICK_S, self._tick)
+
+    def _tell_fresh(self) -> None:
+        """Registries are told whether this is the primary."""
+        fresh = self._replica is not None and self._replica.status.active
+        if fresh != self._fresh:
+            self._fresh = fresh
+            for link in list(self._registries):
+                link.send(Fresh(fresh, self._config[0]))
+
+    def _show(self, link: Link) -> None:
+        version, body = self._config
+        if version:
+            link.send(Config(version, msgspec.Raw(body)))
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Save(kept):
+                    try:
+                        self._disk.save(kept)
+                    except DiskError as error:
+                        # nothing that follows may be said: it would speak of what was not kept
+                        log.error("Disk: {}. This copy takes no part until it is read again.", error)
+                        self._replica = None
+                        self._tell_fresh()
+                        asyncio.get_running_loop().call_later(REOPEN_S, self._open_disk)
+                        return
+                case Send(to, message):
+                    if to == self.me:
+                        continue
+                    if to.startswith("@"):
+                        if (link := self._callers.get(to)) is not None:
+                            link.send(message)
+                    elif (dialer := self._dialers.get(to)) is not None:
+                        dialer.send(message)
+                case InForce(version, body):
+                    self._config = version, body
+                    log.info("In force: r{}.", version)
+                    for link in list(self._registries):
+                        self._show(link)
+                        link.send(Fresh(True, version))
+                case Log(text):
+                    log.info("{}", text)
+
+    def close(self) -> None:
+        """End in order."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._listener.close()
+        for dialer in self._dialers.values():
+            dialer.close()
+        self._disk.close()
--- /dev/null
+++ b/tamarindfold/fabric.py
@@ -0,0 +1,402 @@
+"""The decisions of one ingress of the whole gateway: its way through the events (no I/O, no clock).
+
+What choice.Gateway is for one site, with a list of servers and a counter given, this is where ingresses
+know each other only by what they tell: the engine hands either its events and carries out the actions.
+Tenants' quotas are tenant.py's, backends placement.py's; here are attempts, the budget of second sendings,
+and refusals.
+
+    repeatable        another attempt after any failure, and a copy once the answer is overdue
+    not repeatable    another attempt only while it is certain that none has run
+    given up          refused with a return time where nothing has run or may be repeated; failed otherwise
+
+The budget of second sendings holds over all ingresses without talk: each spends a part of its own requests,
+and the parts add up to that part of all. What a service's allowance gives on top is split by the ingresses
+that are there, and a restarted one begins with none of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from tamarindfold.interface import (
+    Actions,
+    AnswerBegan,
+    AttemptEnded,
+    BackendState,
+    Company,
+    Effect,
+    Event,
+    Fail,
+    FleetUpdate,
+    Level,
+    ListKind,
+    OthersLoad,
+    OthersUse,
+    Outcome,
+    Plan,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    RequestWaited,
+    RequestWithdrawn,
+    Send,
+    SetTimer,
+    Settings,
+    SettingsChanged,
+    Suspected,
+    TimerFired,
+)
+from tamarindfold.placement import DOUBT, LEARN_SPEED, QUICKEST, SLOWEST, Backend, Choice, Pool, Work, choose
+from tamarindfold.tenant import Tenant
+
+# of the budget's ratio that is spent: repeats of repeats and calls by others' ways are not seen here
+PART = 0.75
+ALLOWANCE_PART = 0.5  # of its allowance, split by ingresses
+UNCONNECTED = 3  # backends that can't be connected to, after which a try is given up
+PRESSED = 0.15  # of the aim, a rank: how much less of it a lower priority may be expected to take
+HOPE = 0.85  # of the time left: what a client that returned may be expected to take; a second refusal is dear
+WAIT_PART = 0.25  # of the aim: what waited longer for this process may not be served in time
+LABELS = 64  # timers of one request: more than it can have attempts
+
+
+class Call:
+    """A request that is not answered yet."""
+
+    __slots__ = (
+        "aim",
+        "cls",
+        "event",
+        "give_up",
+        "may_have_run",
+        "out",
+        "returning",
+        "sendings",
+        "tenant",
+        "tried",
+        "unconnected",
+        "work",
+    )
+
+    def __init__(
+        self, event: RequestArrived, cls: RequestClass, tenant: Tenant, work: Work, now: float
+    ) -> None:
+        self.event, self.cls, self.tenant, self.work = event, cls, tenant, work
+        self.give_up = now + event.time_left_ms
+        self.aim = now + min(cls.aim_ms, event.time_left_ms)
+        self.tried: list[Backend] = []
+        self.out: list[int] = []  # the attempts that have not ended
+        self.sendings = 0  # those that may have arrived
+        self.unconnected = 0
+        self.may_have_run = self.returning = False
+
+
+class Fabric:
+    """Decides for one ingress; hand it every event and carry out the actions it gives back."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        zone: int = 0,
+        ratio: float = 0.2,
+        allowance: float = 0.0,
+        first_start: bool = False,
+    ) -> None:
+        """zone: where it stands. ratio, allowance: of second sendings. first_start: no quota is used yet."""
+        self.settings, self.random, self.zone = settings, Random(seed), zone
+        self._ratio, self._allowance, self._full = ratio * PART, allowance * ALLOWANCE_PART, first_start
+        self.company = Company(1, 1)
+        self.tenants: dict[int, Tenant] = {}
+        self.backends: dict[int, Backend] = {}
+        self.pools: dict[int, Pool] = {}
+        self.works: dict[str, Work] = {}
+        self.calls: dict[int, Call] = {}
+        self.loads_changed: dict[int, None] = {}  # backends whose own open attempts others don't know yet
+        self.tenants_changed: dict[int, None] = {}
+        self.actions: Actions = []
+        self._left: dict[int, float] = {}  # levels that were told before their tenants were met
+        self._handlers: dict[type, Callable[[float, Any], None]] = {
+            RequestArrived: self._arrived,
+            RequestWaited: self._waited,
+            AttemptEnded: self._ended,
+            AnswerBegan: self._began,
+            RequestWithdrawn: self._withdrawn,
+            TimerFired: self._overdue,
+            FleetUpdate: self._fleet,
+            SettingsChanged: self._changed,
+            Company: self._company,
+            OthersLoad: self._others_load,
+            OthersUse: self._others_use,
+            Level: self._level,
+            Suspected: self._suspected,
+        }
+
+    def handle(self, now: float, event: Event) -> Actions:
+        """Take in one event; the actions are to be carried out in order."""
+        self.actions = []
+        if handler := self._handlers.get(type(event)):
+            handler(now, event)
+        return self.actions
+
+    # ---- the quota
+
+    def _tenant(self, now: float, number: int, plan: Plan) -> Tenant:
+        even = 1 / max(1, self.company.ingresses)
+        known = self.tenants.get(number)
+        if known is None:
+            known = self.tenants[number] = Tenant(plan, now, even, self._full)
+            if not self._full and number in self._left:
+                known.level = min(plan.burst, self._left.pop(number))
+        elif known.plan != plan:
+            known.change(plan)
+        known.refill(now, even, min(1.0, self.company.heard * even))
+        return known
+
+    def _arrived(self, now: float, event: RequestArrived) -> None:
+        tenant = self._tenant(now, event.customer, self.settings.plans[event.plan])
+        cls = self.settings.classes[event.cls]
+        work = self.works.get(cls.name)
+        if work is None:
+            work = self.works[cls.name] = Work(cls.aim_ms)
+        call = Call(event, cls, tenant, work, now)
+        pool = self._pool(event.pool)
+        self.calls[event.request] = call
+        pool.further = min(self._most_further, pool.further + self._ratio)
+        call.returning = tenant.returns(now)
+        if not tenant.lets(call.returning):
+            return self._refuse(now, call)
+        choice = self._choose(now, call)
+        if choice is None or self._hopeless(now, call, choice):
+            return self._refuse(now, call)
+        tenant.take()
+        self.tenants_changed[event.customer] = None
+        self._send(now, call, choice)
+
+    def _waited(self, now: float, event: RequestWaited) -> None:
+        """Guards this process: what waited past its part of the aim is refused before work is spent on it."""
+        if event.waited_ms > WAIT_PART * self.settings.classes[event.cls].aim_ms:
+            tenant = self._tenant(now, event.customer, self.settings.plans[event.plan])
+            self.actions.append(Refuse(0, tenant.return_time(now)))
+
+    def _hopeless(self, now: float, call: Call, choice: Choice) -> bool:
+        """Nobody can be expected to answer in time: better told at once to come back."""
+        if call.returning:
+            return choice.expected > (call.give_up - now) * HOPE
+        return choice.expected > (call.aim - now) * max(0.3, 1 - PRESSED * call.event.priority)
+
+    @property
+    def _most_further(self) -> float:
+        return 1.0 + self._allowance / max(1, self.company.ingresses)
+
+    def _refuse(self, now: float, call: Call) -> None:
+        self.actions.append(Refuse(call.event.request, call.tenant.return_time(now)))
+        self.calls.pop(call.event.request, None)
+
+    def _fail(self, call: Call) -> None:
+        self.actions.append(Fail(call.event.request))
+        self.calls.pop(call.event.request, None)
+
+    def _level(self, now: float, event: Level) -> None:
+        """Guards a fresh start: what the quota has left is not known here, so what is told counts."""
+        for number, left in event.left.items():
+            known = self.tenants.get(number)
+            if known is None:
+                self._left[number] = min(left, self._left.get(number, left))
+            elif not self._full and not known.used:
+                known.level = max(known.level, min(left, known.plan.burst))
+
+    def _others_use(self, now: float, event: OthersUse) -> None:
+        for number, count in event.used.items():
+            if (tenant := self.tenants.get(number)) is not None:
+                tenant.others(count)
+            elif number in self._left:
+                self._left[number] -= count
+
+    def _company(self, now: float, event: Company) -> None:
+        for number, tenant in self.tenants.items():  # the time until now is filled as it was
+            self._tenant(now, number, tenant.plan)
+        self.company = event
+
+    # ---- backends
+
+    def _pool(self, number: int) -> Pool:
+        known = self.pools.get(number)
+        if known is None:
+            known = self.pools[number] = Pool(number)
+        return known
+
+    def _fleet(self, now: float, event: FleetUpdate) -> None:
+        """Follow the list; what it does not name as ready gets nothing new from this moment on."""
+        if event.kind is not ListKind.CHANGES:
+            raise ValueError("backends are told by their changes here")
+        for entry in event.entries:
+            known = self.backends.get(entry.backend)
+            if entry.state is BackendState.GONE:
+                if known is not None:
+                    known.pool.ready.pop(entry.backend, None)
+                    if not known.out:
+                        del self.backends[entry.backend]
+                    known.entry = entry
+                continue
+            if known is None:
+                known = self.backends[entry.backend] = Backend(entry, self._pool(event.pool))
+            known.entry = entry
+            if entry.state is BackendState.READY:
+                known.pool.ready[entry.backend] = known
+            else:
+                known.pool.ready.pop(entry.backend, None)
+
+    def _others_load(self, now: float, event: OthersLoad) -> None:
+        if event.whole:
+            for number, backend in self.backends.items():
+                if event.origin in backend.others and number not in event.out:
+                    backend.tell_others(event.origin, 0)
+        for number, count in event.out.items():
+            if (known := self.backends.get(number)) is not None:
+                known.tell_others(event.origin, count)
+
+    def _suspected(self, now: float, event: Suspected) -> None:
+        if (backend := self.backends.get(event.backend)) is not None:
+            backend.silent = event.silent
+
+    def _changed(self, now: float, event: SettingsChanged) -> None:
+        self.settings = event.settings
+        plans = {plan.name for plan in event.settings.plans}
+        for number in [n for n, t in self.tenants.items() if t.plan.name not in plans]:
+            del self.tenants[number]
+
+    # ---- attempts
+
+    def _choose(self, now: float, call: Call, idle_only: bool = False) -> Choice | None:
+        return choose(
+            now,
+            self._pool(call.event.pool),
+            call.work,
+            call.aim - now,
+            self.zone,
+            call.tried,
+            self.random,
+            idle_only,
+        )
+
+    def _send(self, now: float, call: Call, choice: Choice) -> None:
+        backend, number = choice.backend, len(call.tried)
+        pool = backend.pool
+        pool.mean_work += (call.work.mean - pool.mean_work) * 0.05
+        backend.out[call.event.request, number] = now, choice.expected
+        backend.connects(now)
+        backend.circuit.sent(now)
+        self.loads_changed[backend.entry.backend] = None
+        call.tried.append(backend)
+        call.out.append(number)
+        call.sendings += 1
+        self.actions.append(Send(call.event.request, backend.entry.backend))
+        if call.cls.effect is Effect.SAFE and number + 1 < call.event.max_attempts:
+            late = choice.expected * call.work.late
+            last_call = call.aim - now - 1.3 * call.work.mean  # a copy then is still in time
+            due = max(1.5 * choice.expected, min(late, last_call))
+            if now + due < call.give_up:
+                self.actions.append(SetTimer(due, call.event.request * LABELS + number, call.event.request))
+
+    def _overdue(self, now: float, event: TimerFired) -> None:
+        """A copy goes elsewhere while the first may still answer, where a slot stands free."""
+        request, number = divmod(event.label, LABELS)
+        call = self.calls.get(request)
+        if call is None or number not in call.out or number != len(call.tried) - 1:
+            return
+        call.tried[number].fails(now, DOUBT / 4)
+        self._again(now, call, copy=True)
+
+    def _again(self, now: float, call: Call, copy: bool = False) -> None:
+        """The one table of further attempts."""
+        harmless = call.cls.effect is Effect.SAFE or not call.may_have_run
+        pool = self._pool(call.event.pool)
+        cost = 1.0 if call.sendings else 0.0  # one that never arrived is no second arrival
+        may = (
+            harmless
+            and call.sendings < call.event.max_attempts
+            and call.unconnected < UNCONNECTED
+            and pool.further >= cost
+            and now < call.give_up - self.settings.tick_ms
+        )
+        choice = self._choose(now, call, copy) if may else None
+        if choice is not None and now + choice.expected / 2 < call.give_up:
+            pool.further -= cost
+            return self._send(now, call, choice)
+        if call.out:
+            return None  # what is out may still answer
+        if not harmless:
+            return self._fail(call)
+        if not call.sendings and call.tried:
+            call.tenant.give_back()
+        return self._refuse(now, call)
+
+    def _ended(self, now: float, event: AttemptEnded) -> None:
+        backend = self.backends.get(event.backend)
+        sent = backend.out.pop((event.request, event.attempt), None) if backend is not None else None
+        call = self.calls.get(event.request)
+        if backend is not None and sent is not None:
+            self.loads_changed[event.backend] = None
+            self._learn(now, backend, event, sent, call)
+            if backend.entry.state is BackendState.GONE and not backend.out:
+                self.backends.pop(event.backend, None)
+        if call is None:
+            return
+        if event.attempt in call.out:
+            call.out.remove(event.attempt)
+        if event.over:
+            self.calls.pop(event.request, None)
+            return
+        if event.outcome is Outcome.CONNECT_FAILED:
+            call.unconnected += 1
+            call.sendings -= 1
+        elif not event.outcome.never_ran:
+            call.may_have_run = True
+        if not call.out or event.attempt == len(call.tried) - 1:
+            self._again(now, call)
+
+    def _learn(
+        self, now: float, backend: Backend, event: AttemptEnded, sent: tuple[float, float], call: Call | None
+    ) -> None:
+        outcome = event.outcome
+        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+            backend.heard_at = now
+            backend.circuit.answered()
+            backend.keeps(now)
+        elif outcome is Outcome.CONNECT_FAILED:
+            backend.circuit.could_not_connect(now)
+        else:
+            backend.circuit.unknown()
+        if outcome is Outcome.OK:
+            backend.silent = False
+            took = event.elapsed_ms - event.lag_ms
+            if call is None or took <= 0:
+                return
+            call.tenant.answered(event.elapsed_ms)
+            if (
+                backend.load < backend.slots and sent[1] <= call.work.mean * SLOWEST * 2
+            ):  # nothing stood before it
+                call.work.learn(took, max(1.0, sent[1]))
+                if now >= backend.entry.warm_at_ms:
+                    ratio = min(SLOWEST, max(QUICKEST, took / max(1.0, sent[1]) * backend.speed))
+                    backend.speed += (ratio - backend.speed) * LEARN_SPEED
+        elif outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
+            backend.fails(now, DOUBT)
+        elif outcome is Outcome.FULL:
+            backend.fails(now, DOUBT / 2)
+
+    def _began(self, now: float, event: AnswerBegan) -> None:
+        if (backend := self.backends.get(event.backend)) is not None:
+            backend.heard_at = now
+
+    def _withdrawn(self, now: float, event: RequestWithdrawn) -> None:
+        self.calls.pop(event.request, None)
+
+    # ---- what others are told
+
+    def load(self, backend: int) -> int:
+        """Own open attempts there."""
+        known = self.backends.get(backend)
+        return len(known.out) if known is not None else 0
--- a/tamarindfold/interface.py
+++ b/tamarindfold/interface.py
@@ -197,6 +197,7 @@
     cell: int = 0
     size: float = 1.0
     up_since_ms: float = 0.0
+    warm_at_ms: float = 0.0  # when it is as quick as ever, where it tells so itself
 
 
 @dataclass(slots=True)
@@ -238,6 +239,7 @@
     pool: whose backends may take it. max_attempts: at most so many, 0 for as many as the settings say.
     key: a number for what nodes know a keyed request by, the same in the client's retries; 0: not told.
     reserved: its units are kept ahead for it and taken off that; the bucket bears none of them.
+    priority: its rank where the fleet is pressed, 0 the highest.
     """
 
     request: int
@@ -253,6 +255,7 @@
     max_attempts: int = 0
     key: int = 0
     reserved: bool = False
+    priority: int = 0
 
 
 @dataclass(slots=True)
@@ -381,8 +384,51 @@
     group: tuple[Group, int] | None = None
 
 
-Event = (FleetUpdate | ListWatched | SettingsChanged | PlanAssigned | RequestArrived | RequestWaited
-         | AnswerBegan | AttemptEnded | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage
+# ---- events of the whole gateway, where ingresses know one another
+
+
+@dataclass(slots=True)
+class Company:
+    """How many ingresses there are, this one among them, and how many of them it hears."""
+
+    ingresses: int
+    heard: int
+
+
+@dataclass(slots=True)
+class OthersLoad:
+    """Open attempts of another ingress by backend, as they are now; whole: it has no others."""
+
+    origin: str
+    out: dict[BackendId, int]
+    whole: bool = False
+
+
+@dataclass(slots=True)
+class OthersUse:
+    """Requests that other ingresses have let in since they last told, by customer."""
+
+    used: dict[int, float]
+
+
+@dataclass(slots=True)
+class Level:
+    """What other ingresses think is left of customers' quotas; for one that has just started."""
+
+    left: dict[int, float]
+
+
+@dataclass(slots=True)
+class Suspected:
+    """A backend has not called for a while, or does again."""
+
+    backend: BackendId
+    silent: bool
+
+
+Event = (FleetUpdate | Company | OthersLoad | OthersUse | Level | Suspected | ListWatched | SettingsChanged
+         | PlanAssigned | RequestArrived | RequestWaited | AnswerBegan | AttemptEnded
+         | RequestWithdrawn | TimerFired | ProbeEnded | PeerMessage
          | CountAnswered | Settled)
 
 
--- a/tamarindfold/quota.py
+++ b/tamarindfold/quota.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
-from collections import deque
-from math import inf, sqrt
+from math import inf
 
+from tamarindfold.diba import VirtualQueue, spread_of
 from tamarindfold.interface import Plan
 
 RAISE, FALL = 1.5, 0.5  # a dry slice grows by half (design page); an over-used one loses half of its growth
 ROOM, SPENT = 0.9, 0.25  # of the burst: a fuller shared store has room for all; an emptier one is over-used
-QUEUE_MS = 10_000.0  # the longest virtual queue: clients that return at once would lengthen it without end
 SECOND_MS = 1000.0  # how often a slice may grow
 OLD_NEWS = 0.15  # of the quota's rate: how fast a told store is believed to refill, when asking is free
 
 
-class Customer:
+class Customer(VirtualQueue):
     """One customer's slice of its quota here, and the virtual queue of those it was refused for."""
 
     __slots__ = (  # many customers come but once, and each is remembered for a while
-        "answers", "appointments", "cap_tokens", "debt", "dry", "end_of_queue_time", "even", "filled_at",
-        "first", "followed_at", "number", "plan", "share", "shut_until", "store", "tokens", "told_at",
-        "unit_squares", "unit_sum", "width")
+        "answers", "cap_tokens", "debt", "dry", "even", "filled_at", "first", "followed_at", "number", "plan",
+        "share", "shut_until", "store", "tokens", "told_at", "unit_squares", "unit_sum", "width")
 
     def __init__(self, plan: Plan, width: int, now: float, number: int = 0, debt: float = 0.0,
                  unspent_since: float = inf, asks: bool = False) -> None:
@@ -31,8 +29,8 @@
         full = min(plan.burst, gone * plan.rate) if asks else plan.burst
         self.share, self.tokens = self.even, full * self.even
         self.cap_tokens = min(plan.ceiling_burst, gone * plan.ceiling_rate) * self.even
-        self.filled_at = self.end_of_queue_time = now
-        self.appointments: deque[float] | None = None  # until it is refused
+        super().__init__(now)
+        self.filled_at = now
         self.answers, self.unit_sum, self.unit_squares = 0, 0.0, 0.0
         self.debt = debt  # own use that is not counted yet; below nought: counted, but not used
         self.store, self.told_at = plan.burst, -inf  # the shared store as the counter's last answer showed it
@@ -57,28 +55,11 @@
         self.store = min(self.store, plan.burst)
 
     def return_time(self, now: float, units: float, no_show: float) -> float:
-        """DIBA (the paper's Algorithm 6): how long the refused client is to stay away."""
-        if self.appointments is None:
-            self.appointments = deque()
-        while self.appointments and self.appointments[0] <= now - no_show:
-            self.appointments.popleft()  # kept, or never will be
+        """How long the refused client is to stay away; the sums are of units."""
         mean = self.unit_sum / self.answers if self.answers else units
-        variance = self.unit_squares / self.answers - mean * mean if self.answers >= 2 else 0.0
+        spread = spread_of(self.answers, self.unit_sum, self.unit_squares)
         fill = self.plan.rate * self.share if self.plan.rate else mean
-        desired_return_rate = fill / mean * (1 + sqrt(max(0.0, variance)) / mean)
-        queue_interval = 1000 / desired_return_rate
-        client_wait_duration = queue_interval * (len(self.appointments) + 1)
-        self.end_of_queue_time = max(self.end_of_queue_time, now)
-        if now + client_wait_duration - self.end_of_queue_time < queue_interval:
-            back_at = now + client_wait_duration
-            self.end_of_queue_time = max(self.end_of_queue_time, back_at)
-        else:
-            back_at = self.end_of_queue_time = self.end_of_queue_time + queue_interval
-        if back_at > now + QUEUE_MS:  # nobody waits so long: it takes no place that others would stand behind
-            self.end_of_queue_time = min(self.end_of_queue_time, now + QUEUE_MS)
-            return QUEUE_MS
-        self.appointments.append(back_at)
-        return back_at - now
+        return self.appoint(now, fill / mean * (1 + spread), no_show)
 
     def took(self, units: float, true_units: float) -> None:
         """A good answer tells the true units; units: how much more than the guess that was taken."""
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -39,14 +39,14 @@
 from tamarindfold import snapshot
 from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
-    Action, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Effect, Event, Fail,
+    Action, Actions, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListWatched, Log, Outcome, PeerMessage, PlanAssigned, Refuse, RequestArrived,
     RequestWaited, RequestWithdrawn, Send, SetTimer, Settings, SettingsChanged, Settled, Tell, TimerFired,
 )
 from troutdock.engine.attempt import Attempt
 from troutdock.engine.ports import (
-    Allowance, Answer, Clock, Counter, Exchange, Flow, Ledger, Peers, PlanBook, StreamingExchange, Timer,
-    Timers, Transport,
+    Allowance, Answer, Clock, Counter, Decides, Exchange, Flow, Ledger, Peers, PlanBook, StreamingExchange,
+    Timer, Timers, Transport,
 )
 from troutdock.engine.request import BadRequest, Request
 
@@ -84,8 +84,8 @@
 class Call:
     """A request that still owes its answer, or has attempts out."""
 
-    __slots__ = ("attempts", "begun", "deadline", "exchange", "give_up", "number", "request", "reserved",
-                 "timers", "transport")
+    __slots__ = ("attempts", "begun", "deadline", "exchange", "failure", "give_up", "number", "request",
+                 "reserved", "timers", "transport")
 
     def __init__(self, number: int, request: Request, exchange: Exchange, give_up: float,
                  transport: Transport) -> None:
@@ -93,6 +93,7 @@
         self.transport = transport
         self.attempts: list[Attempt] = []
         self.begun: Attempt | None = None  # the attempt whose answer is being passed on
+        self.failure: Answer | None = None  # the last that a backend gave in place of a good answer
         self.reserved: str | None = None  # the reservation that has its units
         self.deadline: Timer | None = None
         self.timers: list[Timer] | None = None  # what the decision module has asked for on its behalf
@@ -101,11 +102,14 @@
 class Engine:
     """Drives one gateway with what happens at its ports; for use from one thread."""
 
-    def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers) -> None:
+    def __init__(self, settings: Settings, seed: int, clock: Clock, timers: Timers,
+                 gateway: Decides | None = None) -> None:
+        """gateway: who decides, in place of a choice.Gateway."""
         self.clock, self._timers = clock, timers
+        self.relays_failures = False  # a backend's own failure is passed on, where nothing better comes
         self.tally = Tally()
         self.ready = False  # until there is a backend to send to
-        self._gateway = Gateway(settings, seed)
+        self._gateway: Any = gateway if gateway is not None else Gateway(settings, seed)  # a Decides
         self._most_units = settings.most_units
         self._calls: dict[int, Call] = {}
         self._open_ids: set[bytes] = set()
@@ -163,7 +167,8 @@
     @property
     def settings(self) -> Settings:
         """Those that hold now."""
-        return self._gateway.settings
+        settings: Settings = self._gateway.settings
+        return settings
 
     def plan_of(self, customer: int) -> str | None:
         """The plan that is assigned to a customer now; None: its requests say."""
@@ -352,6 +357,8 @@
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         """The one outcome of an attempt."""
         call: Call = attempt.owner
+        if outcome is Outcome.ERROR and answer is not None and self.relays_failures:
+            call.failure = answer
         units = 0.0
         ends = call.number in self._calls and (outcome is Outcome.OK or call.begun is attempt)
         if ends:
@@ -436,6 +443,8 @@
         self.tally.failed += 1
         if begun:
             call.exchange.broken()
+        elif call.failure is not None:
+            call.exchange.served(call.failure)
         else:
             call.exchange.failed(why)
         self._settle(call, outcome)
@@ -478,8 +487,10 @@
         """Give the gateway an event and do what it says."""
         about: Event | Action = event
         try:
-            for about in self._gateway.handle(self.clock.now(), event):
-                self._carry_out(about)
+            actions: Actions = self._gateway.handle(self.clock.now(), event)
+            for action in actions:
+                about = action
+                self._carry_out(action)
         except Exception:
             # guards the other requests: only the one that the event or the action is about fails
             log.exception("%s, on %s", about, event)
@@ -537,7 +548,8 @@
         call, now = self._calls[action.request], self.clock.now()
         request = call.request
         attempt = call.transport.new_attempt(call, len(call.attempts), action.backend,
-                                             request.message(call.give_up - now), now, request.repeatable)
+                                             request.message_to(action.backend, call.give_up - now),
+                                             now, request.repeatable)
         attempt.streams = call.exchange.streams
         call.attempts.append(attempt)
         if call.begun is not None:  # the answer is the client's already: nothing more may run
--- a/troutdock/engine/ports.py
+++ b/troutdock/engine/ports.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from tamarindfold.interface import BackendId, FleetUpdate, Outcome
+from tamarindfold.interface import Actions, BackendId, Event, FleetUpdate, Outcome, Settings
 from troutdock.engine.attempt import Attempt
 
 
@@ -29,6 +29,17 @@
         """The time."""
 
 
+class Decides(Protocol):
+    """The decision module: choice.Gateway, or fabric.Fabric where ingresses know one another."""
+
+    @property
+    def settings(self) -> Settings:
+        """Those that hold now."""
+
+    def handle(self, now: float, event: Event) -> Actions:
+        """Take in one event; the actions are to be carried out in order."""
+
+
 class Timer(Protocol):
     """A call that is due later."""
 
--- a/troutdock/engine/request.py
+++ b/troutdock/engine/request.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from tamarindfold.interface import RequestArrived
+from tamarindfold.interface import BackendId, RequestArrived
 
 
 class BadRequest(Exception):
@@ -33,3 +33,7 @@
     def message(self, left_ms: float) -> Any:
         """The form in which a transport of its pool sends it; left_ms: how long its answer is waited for."""
         raise NotImplementedError
+
+    def message_to(self, backend: BackendId, left_ms: float) -> Any:
+        """The same, where it differs by backend."""
+        return self.message(left_ms)
--- a/troutdock/http/bodies.py
+++ b/troutdock/http/bodies.py
@@ -80,8 +80,8 @@
         """The head is whole; from now on the body is measured."""
         self._body_since = now
 
-    def late(self, now: float, received: int) -> bool:
-        """It has had its time; received: bytes of the body so far."""
+    def late(self, now: float, received: int, head_s: float = HEAD_S) -> bool:
+        """It has had its time; received: bytes of the body so far. head_s: for a head."""
         if self._body_since:
             return now - self._body_since > GRACE_S + received / PACE
-        return now - self._since > (HEAD_S if self._started else SILENT_S)
+        return now - self._since > (head_s if self._started else max(SILENT_S, head_s - HEAD_S + SILENT_S))
--- a/troutdock/http/connection.py
+++ b/troutdock/http/connection.py
@@ -130,12 +130,12 @@
             self._remember(data, completed)
         if self._wholes and self.server.successor is not None:
             self.server.pass_on_soon(self)
-        if not self.deaf:
-            if self._exchanges or self._wholes:
-                self.server.waiting.drop(self)
-                self.server.idle.drop(self)
-            elif self.begun and self.server.idle.drop(self):
-                self.server.waiting.add(self)
+        # also one that ends with its answer: it waits for that, not for us
+        if self._exchanges or self._wholes:
+            self.server.waiting.drop(self)
+            self.server.idle.drop(self)
+        elif not self.deaf and self.begun and self.server.idle.drop(self):
+            self.server.waiting.add(self)
         if len(self._exchanges) + len(self._wholes) >= MAX_PIPELINED and not self._paused:
             self._paused = True
             self._transport.pause_reading()
@@ -199,7 +199,7 @@
 
     def late(self, now: float) -> bool:
         """The message that is coming, or the first one, has had its time."""
-        return self._pace.late(now, self._size)
+        return self._pace.late(now, self._size, self.server.head_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.deaf = True
@@ -425,7 +425,7 @@
              body: list[bytes]) -> None:
         """A request has come whole: it is answered here, or goes to the engine."""
         path, server = path_of(url), self.server
-        if path == b"/healthz" and method == b"GET":
+        if path == server.health_path and method == b"GET":
             exchange.answer(200 if server.healthy else 503)
             return
         waited_ms = server.engine.clock.now() - exchange.arrived
--- a/troutdock/http/exchange.py
+++ b/troutdock/http/exchange.py
@@ -8,7 +8,7 @@
 from troutdock.engine import Call, Failure, Flow
 from troutdock.http.age import received_ago_ms
 from troutdock.http.response import MAX_BODY, Response
-from troutdock.http.status import FAILED, PASSED_ON
+from troutdock.http.status import FAILED
 
 if TYPE_CHECKING:
     from troutdock.http.connection import ClientConnection
@@ -50,8 +50,7 @@
             self._flows_no_more()
             self.connection.flush()
             return
-        found = answer.headers
-        self.answer(200, answer.body, tuple((name, found[name]) for name in PASSED_ON if name in found))
+        self.answer(answer.status, answer.body, self.connection.server.passes(answer))
 
     def began(self, head: Response, flow: Flow) -> None:
         """A long answer: its head goes out now, its body as it comes."""
@@ -67,9 +66,7 @@
         else:
             framing = (b"Connection", b"close")  # its end is the connection's: HTTP/1.0
             self.keep_alive = False
-        found = head.headers
-        passed = tuple((name, found[name]) for name in PASSED_ON if name in found)
-        self.pieces = [self._head(200, (framing, *passed))]
+        self.pieces = [self._head(head.status, (framing, *self.connection.server.passes(head)))]
         if self.connection.first() is not self:
             flow.pause()  # until the answers before it are out
         self.connection.flush()
--- a/troutdock/http/listener.py
+++ b/troutdock/http/listener.py
@@ -30,10 +30,11 @@
 from troutdock.engine import Engine
 from troutdock.handover.roles import Item
 from troutdock.http.age import has_left
-from troutdock.http.bodies import Budget
+from troutdock.http.bodies import HEAD_S, Budget
 from troutdock.http.connection import ClientConnection
 from troutdock.http.places import Line
-from troutdock.http.request import Headers, HttpRequest, Reader
+from troutdock.http.request import Headers, HttpRequest
+from troutdock.http.status import passed_on
 from troutdock.management.availability import Availability, State
 from troutdock.overload.damping import EVERY, Damping
 from troutdock.overload.lag import Lag
@@ -93,13 +94,19 @@
 class Server:
     """Accepts clients within a bound on their connections, until it is told to drain."""
 
-    def __init__(self, engine: Engine, reader: Reader, max_clients: int, lag: Lag | None = None,
+    def __init__(self, engine: Engine, reader: Reads, max_clients: int, lag: Lag | None = None,
                  damping: Damping = EVERY, bodies: Budget | None = None, max_streams: int = 100) -> None:
         self.streams, self._max_streams = 0, max_streams  # answers that are passed on as they come
         self.bodies = bodies or Budget()  # what clients' long bodies may take of the memory
         self.lag, self.damping = lag or Lag(), damping
         self.engine = engine
         self.reader: Reads = reader
+        self.passes = passed_on  # which headers of a backend's answer a client gets
+        # where clients ask whether this process wants them; None: not at their own address
+        self.health_path: bytes | None = b"/healthz"
+        self.head_s, self.idle_s = HEAD_S, IDLE_S  # for a head to come; until an idle connection is closed
+        # how long SIGTERM leaves the door open: at least, and where clients still come
+        self.drain_accept_s, self.drain_most_s = DRAIN_ACCEPT_S, DRAIN_MOST_S
         self.availability = Availability()
         self._max_clients = max_clients
         self._max_idle = max(1, max_clients // IDLE_PART)
@@ -280,7 +287,7 @@
                 self.waiting.drop(slow)
                 self.ending.add(slow)
                 slow.time_out()
-        self._close_idle(now - IDLE_S)
+        self._close_idle(now - self.idle_s)
         # Guards against clients that ask once and keep their connection: what they may hold is bounded too,
         # and with all of it standing idle they can ask nothing more, while places here are free. It could
         # hurt a crowd of clients that each come back seldom, by a new connection for each request.
@@ -421,6 +428,6 @@
             await asyncio.sleep(0.02)
             now = time.monotonic()
             quiet = now - self._last_accept > DRAIN_QUIET_S
-            if now - began > (DRAIN_ACCEPT_S if quiet else DRAIN_MOST_S):
+            if now - began > (self.drain_accept_s if quiet else self.drain_most_s):
                 break
         self._accept(BACKLOG)
--- a/troutdock/http/request.py
+++ b/troutdock/http/request.py
@@ -18,8 +18,9 @@
 MEANT = frozenset((b"request-id", b"account", b"plan", b"request-timeout", b"quota-info", b"client-retry",
                    b"idempotency-key"))
 # what counts for one connection only, and what the ingress words itself
-_NOT_FORWARDED = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
-                            b"transfer-encoding", b"expect", b"content-length", b"request-timeout"))
+HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"upgrade",
+                        b"transfer-encoding", b"expect", b"content-length"))
+_NOT_FORWARDED = HOP_BY_HOP | {b"request-timeout"}
 
 Headers = Sequence[tuple[bytes, bytes]]  # names in lower case
 Message = bytes | list[bytes]  # in one piece, or a long one in several, which are not copied
@@ -144,14 +145,17 @@
     return found
 
 
-def forwarded_head(method: bytes, url: bytes, headers: Headers, length: int) -> bytes:
-    """Request line and end-to-end headers, unchanged; the length only where a body may come."""
-    dropped = _NOT_FORWARDED
+def forwarded_head(method: bytes, url: bytes, headers: Headers, length: int,
+                   dropped: frozenset[bytes] = _NOT_FORWARDED, meant: frozenset[bytes] = MEANT) -> bytes:
+    """Request line and end-to-end headers, unchanged; the length only where a body may come.
+
+    dropped: headers that stay here. meant: those that Connection can't name away.
+    """
     if named := b",".join([value for name, value in headers if name == b"connection"]):
-        dropped |= {part.strip().lower() for part in named.split(b",")} - MEANT
+        dropped |= {part.strip().lower() for part in named.split(b",")} - meant
     lines = [b"%b %b HTTP/1.1" % (method, url)]
     lines += [b"%b: %b" % pair for pair in headers if pair[0] not in dropped]
-    if method != b"GET":
+    if method != b"GET" or length:
         lines.append(b"Content-Length: %d" % length)
     lines.append(b"")
     return b"\r\n".join(lines)
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -54,6 +54,7 @@
 
 
 Ended = Callable[[HttpAttempt, Outcome, Response | None], None]
+Verdict = Callable[[HttpAttempt | None, Response], Outcome | None]
 
 
 class NoStreams:
@@ -74,8 +75,11 @@
     def answer_more(self, attempt: Attempt, data: bytes) -> None: ...
 
 
-def outcome_of(response: Response) -> Outcome:
-    """The protocol's table for answers; a status that it does not name may have run."""
+def outcome_of(attempt: HttpAttempt | None, response: Response) -> Outcome:
+    """The protocol's table for answers; a status that it does not name may have run.
+
+    A verdict may also be None: the response is not the attempt's, and its own is still to come.
+    """
     if response.status == 200:
         return Outcome.OK
     if response.status in (503, 504) and response.headers.get(b"not-started", b"") == b"1":
@@ -95,6 +99,7 @@
         self._reader = ResponseReader(pool.max_answer)
         self._written = False
         self._closed = False
+        self._surplus = False  # an answer has come that belongs to no request
         self._streaming = self._paused = False  # passed on as it comes; not read for now
         self._stalled: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport
@@ -154,12 +159,22 @@
                 self.attempt.lag_ms += received_ago_ms(self.sock)
             # an answer before the request's last byte leaves a connection nobody can use again
             self._came()
-            self._conclude(outcome_of(response), response, response.keep_alive and self._written)
+            outcome = self.pool.verdict(self.attempt, response)
+            if outcome is not None:
+                whole = response.keep_alive and self._written and not self._surplus
+                self._conclude(outcome, response, whole)
+            elif response.keep_alive:
+                self._surplus, self._first = True, 0.0  # what belongs to no request: the attempt's is to come
+            else:
+                self.close()
+                self._broken()
             return
         if not self._first:
             self._first = asyncio.get_running_loop().time()
         if self.attempt is not None and self._reader.long:
             if not self._streaming:
+                if self.pool.verdict(self.attempt, self._reader.head()) is not Outcome.OK:
+                    return self._watch()  # not its own, or no good one: it is looked at when it is whole
                 self._streaming = True
                 self._came()
                 if not self.pool.streams.answer_began(self.attempt, self._reader.head(), self):
@@ -204,7 +219,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is None and not self._closed and (response := self._reader.ended()) is not None:
             self._came()
-            self._conclude(outcome_of(response), response, False)
+            outcome = self.pool.verdict(self.attempt, response)
+            if outcome is not None:
+                self._conclude(outcome, response, False)
         self.close()
         self._broken()
         self._reader.close()
@@ -247,6 +264,7 @@
     def __init__(self, endpoint: Address, backends: HttpTransport, up_since_ms: float) -> None:
         self.endpoint, self._backends, self.up_since_ms = endpoint, backends, up_since_ms
         self.max_answer, self.lag, self.streams = backends.max_answer, backends.lag, backends.streams
+        self.verdict = backends.verdict
         self.idle: deque[Connection] = deque()  # the most recently used last
         self.waiting: deque[HttpAttempt] = deque()  # attempts whose connection is not up yet
         self.retired = False
@@ -377,7 +395,10 @@
     """All backends that the gateway may name, within a bound on the connections to them."""
 
     def __init__(self, max_open: int, connect_timeout_s: float, idle_s: float, ended: Ended,
-                 max_answer: int = MAX_BODY, lag: Lag | None = None, streams: Streams | None = None) -> None:
+                 max_answer: int = MAX_BODY, lag: Lag | None = None, streams: Streams | None = None,
+                 verdict: Verdict = outcome_of) -> None:
+        """verdict: what an answer means for its attempt."""
+        self.verdict = verdict
         self.streams = streams or NoStreams()
         self.max_answer = max_answer  # bytes of a body
         self.lag = lag or Lag()
