A backup leads where the primary has lost its disk; links of cut-off ingresses stay

Ruled out: slices that grow, uses that are lost on the way.

Change: a replica tells whether it holds what its record says; a link that is up is kept whoever lists its peer.

--- a/espalier/mesh.py
+++ b/espalier/mesh.py
@@ -127,7 +127,9 @@
                     if dialer is None or dialer.up or not dialer.tried:
                         break
         for name, dialer in list(self._dialers.items()):
-            if name not in wanted or wanted[name].ip != dialer.address[0]:
+            # who has left the registry's list may merely be cut off from it: a link that is up stays
+            moved = name in members and members[name].ip != dialer.address[0]
+            if moved or (name not in wanted and not dialer.up):
                 dialer.close()
                 del self._dialers[name]
         for name, member in wanted.items():
--- a/espalier/shares.py
+++ b/espalier/shares.py
@@ -14,9 +14,9 @@
 from furrow.messages import Member, Share, Shares
 from pollen.order import first
 
-STALE_S = 1.6  # an ingress that was not heard of for so long tells nothing any more
+STALE_S = 1.2  # an ingress that was not heard of for so long tells nothing any more
 LOST_S = 10.0  # one that has left the list without being heard to end still counts for so long
-ALIVE_S = 0.5  # at least so often another zone's speaker is told who is heard here
+ALIVE_S = 0.4  # at least so often another zone's speaker is told who is heard here
 SPEAKS = "speaker"  # the duty's name
 
 
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -67,6 +67,7 @@
 FOUNDING_S = 3.0  # from the first start until another than the first seed may lead
 STATUS_S = 0.3  # between two tellings of what one is
 SILENT_S = 1.0  # a primary or backup that was not heard for so long is taken for lost: three tellings
+PATIENCE_S = 2.5  # for a primary that is heard to be active again
 STEP_S = 0.8  # for all answers of one step: a slow sync is some 140 ms, and a call has 5 s in all
 AGAIN_S = 0.15  # until who has not answered is asked again
 REST_S = 0.35  # after a step that failed, before the next try; the machine's place in the order adds to it
@@ -140,6 +141,7 @@
 
     status: Status | None = None
     heard_at: float = -inf
+    led_at: float = -inf  # when it last said that it is the active primary, or was met
 
 
 @dataclass(slots=True)
@@ -263,7 +265,13 @@
         kept = self.kept
         version = self._in_force if self.stage is Stage.ACTIVE else kept.version
         return Status(
-            kept.promised, kept.record, version, self.stage is Stage.ACTIVE, kept.blank, list(kept.voters)
+            kept.promised,
+            kept.record,
+            version,
+            self.stage is Stage.ACTIVE,
+            kept.blank,
+            self._holds_data(),
+            list(kept.voters),
         )
 
     # ---- helpers
@@ -300,6 +308,8 @@
 
     def _status(self, now: float, sender: str, status: Status) -> None:
         peer = self.peers.setdefault(sender, _Peer())
+        if status.active or peer.led_at == -inf:
+            peer.led_at = now
         peer.status, peer.heard_at = status, now
         if not self.kept.voters and status.voters:
             self.kept = replace(self.kept, voters=tuple(status.voters))  # on disk with the next save
@@ -350,13 +360,12 @@
         record = self.kept.record
         if record is None or not self._holds_data():
             return False
-        if record.primary == self.me:
+        if record.primary == self.me or not self._heard(now, record.primary):
             return True
-        return not self._heard(now, record.primary) or self._is_empty(record.primary)
-
-    def _is_empty(self, peer: str) -> bool:
-        known = self.peers.get(peer)
-        return known is not None and known.status is not None and known.status.blank
+        primary = self.peers[record.primary]
+        assert primary.status is not None
+        # it is there, and can't lead (its disk was lost) or has not come to it for long
+        return not primary.status.holds or now - primary.led_at > PATIENCE_S
 
     def _ask(self, now: float) -> None:
         highest = max([self.kept.promised] + [p.status.promised for p in self.peers.values() if p.status])
