Recovery: the primary leads at once, backends are remembered, clients wait at the door

Cause: after all power or all processes are lost, the store waited a second before it led and another 0.8 s for answers on links that were not up; registries knew no backend until it beat; ingresses refused what came before the configuration, and clients ran out of tries. Ruled out: start of the processes (0.4 s), syncs (5 ms each).

Change: a primary that comes back asks at once and again as links come up; a registry keeps its book on sqlite, as a hint to begin with; an ingress leaves who comes in the first 0.9 s at the door until it has a configuration; tries past their aim are refused only where no answer can be expected; settings are read again only when the file changed.

--- a/espalier/daemon.py
+++ b/espalier/daemon.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Mapping
 from random import Random
 
@@ -56,7 +57,7 @@
 from troutdock.http.bodies import Budget, budget_for, streams_for
 from troutdock.http.listener import Server
 from troutdock.http.transport import HttpTransport
-from troutdock.overload.lag import EVERY_S, Lag
+from troutdock.overload.lag import Lag
 from troutdock.platform.clock import SystemClock
 
 log = logbook.Logger("espalier")
@@ -64,10 +65,12 @@
 OTHER_DESCRIPTORS = 350  # of the process: files, links, doors
 CONNECT_S = 0.5  # for a connection to a backend to come up
 IDLE_S = 10.0  # until a backend closes a connection that stands idle
+SAMPLE_S = 0.05  # between two samples of this process's own lateness: each is a wake-up
 SWEEP_S = 0.25
 LOST_S = 60.0  # without an answer or a word for so long, a backend is forgotten
 SETTINGS_S = 2.0  # between two looks at the settings file, which may change without a signal
 DRAIN_MOST_S = 2.6  # after SIGTERM clients still come: two questions for readiness have to be missed
+DOOR_S = 0.9  # from the start until clients are told that there is no configuration yet
 LEFT_S = 0.4  # of the grace: kept for the end itself
 STATES = {0: BackendState.READY, 1: BackendState.DRAINING, 2: BackendState.GONE}
 NOTHING = Settings(
@@ -136,7 +139,7 @@
         self.clock = SystemClock()
         self.engine = Engine(NOTHING, 0, self.clock, self._loop, self._decides)
         self.engine.relays_failures = True
-        self.lag = Lag(self.clock.now)
+        self.lag = Lag(self.clock.now, SAMPLE_S)
         descriptors = max(64, values["limits.fileDescriptors"] - OTHER_DESCRIPTORS)
         self.transport = HttpTransport(
             descriptors // 2,
@@ -171,13 +174,15 @@
         self._decides.mesh = self.mesh
         self._readiness = CallServer(self._ready, 1024)
         self._synced = False  # the newest configuration has been here once
-        self._ending = False
-        self._tasks: list[asyncio.TimerHandle] = []
+        self._ending = self._opened = False
+        self._mark: tuple[int, int, int] | None = None  # of the settings file that was read last
 
     async def start(self, http: Address, readiness: Address, inner: Address) -> Address:
         """Open the doors and begin to follow the news; gives the clients' address."""
         await self._readiness.listen(readiness)
-        address = self.server.listen(http)
+        # who comes before there is a configuration stands at the door for a moment: nothing of it is read yet
+        address = self.server.listen(http, hold=True)
+        self._loop.call_later(DOOR_S, self._open)
         await self.mesh.start(inner)
         self.feed.start()
         self._sweep()
@@ -186,6 +191,12 @@
         log.info("Serves at {}:{}.", *address)
         return address
 
+    def _open(self) -> None:
+        """Take clients; harmless twice."""
+        if not self._opened and not self._ending:
+            self._opened = True
+            self.server.open()
+
     # ---- readiness
 
     @property
@@ -224,6 +235,7 @@
                     if not self._synced:
                         log.info("Ready with r{}.", own)
                     self._synced = True
+                    self._open()
             case _:
                 pass
 
@@ -316,14 +328,22 @@
 
     def _sample(self) -> None:
         self.lag.sample()
-        self._loop.call_later(EVERY_S, self._sample)
+        self._loop.call_later(SAMPLE_S, self._sample)
 
     def _look_at_settings(self) -> None:
         """The file may change without a signal; what can change in service is who the seeds are."""
-        self.reload(quiet=True)
+        try:
+            stat = os.stat(self._path)
+        except OSError:
+            stat = None  # it is being replaced
+        mark = (stat.st_mtime_ns, stat.st_size, stat.st_ino) if stat is not None else self._mark
+        if mark != self._mark:
+            first, self._mark = self._mark is None, mark
+            if not first:
+                self.reload()
         self._loop.call_later(SETTINGS_S, self._look_at_settings)
 
-    def reload(self, quiet: bool = False) -> None:
+    def reload(self) -> None:
         """Read the settings again; a bad file is logged and changes nothing."""
         try:
             boot = load_boot(self._path)
@@ -331,8 +351,7 @@
             log.error("Settings stay as they were: {}", error)
             return
         self.feed.learn({host: self.feed.registries.get(host, "") for host, _ in boot.seeds})
-        if not quiet:
-            log.info("Settings read again.")
+        log.info("Settings read again.")
 
     async def end(self, grace_s: float) -> None:
         """SIGTERM: take no more clients once the platform has noticed, answer all that was taken."""
--- a/furrow/link.py
+++ b/furrow/link.py
@@ -26,7 +26,7 @@
 PING_S = 0.3  # between two signs of life
 SILENT_S = 1.0  # without any: three are lost, or the way is cut
 CONNECT_S = 0.6  # for a connection to come up: the longest way is some 80 ms, and one lost packet a second
-PAUSE_S, PAUSE_MOST_S = 0.1, 1.0  # between two tries: at first, and at most
+PAUSE_S, PAUSE_MOST_S = 0.05, 0.5  # between two tries: at first, and at most
 MOST_UNSENT = MAX_FRAME + (1 << 20)  # bytes that wait for a peer that does not read
 STRANGER_FRAME = 4096  # bytes of a first message: Hello
 
@@ -159,15 +159,15 @@
         while not self._closed:
             self._gone.clear()
             link = Link(self._me, self._heard, self._up, self._ended)
+            self.link = link
             try:
                 async with asyncio.timeout(CONNECT_S):
                     await loop.create_connection(lambda link=link: link, *self.address)  # type: ignore[misc]
             except (OSError, TimeoutError):
-                self.tried = True
+                self.link, self.tried = None, True
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(PAUSE_MOST_S, self._pause_s * 2)
                 continue
-            self.link = link
             began = loop.time()
             await self._gone.wait()
             self.link, self.tried = None, True
--- a/furrow/messages.py
+++ b/furrow/messages.py
@@ -155,8 +155,8 @@
 class Status(Struct, tag="status", tag_field="t"):
     """What a replica is, several times a second; active: it is the primary and acknowledges.
 
-    blank: it has lost its disk and promises nothing; holds: all that was acknowledged under its record is there;
-    voters: whose promises count.
+    blank: it has lost its disk and promises nothing; holds: all that was acknowledged under its record is
+    there; voters: whose promises count.
     """
 
     promised: int
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 
 import logbook
 import msgspec
@@ -12,6 +13,7 @@
 from furrow.link import Address, Dialer, Link, Listener
 from furrow.messages import Config, Done, Fresh, Hello, Instance, Member, Message, Put, Read, ReadDone
 from hedgerow.calls import ConfigurationCalls, InstanceCalls, Outside
+from hedgerow.disk import Memory
 from hedgerow.registry import Action, Confirmed, Registry, Tell
 
 log = logbook.Logger("hedgerow")
@@ -41,9 +43,17 @@
         self._outside = CallServer(Outside(instances, ConfigurationCalls(self)).handle)
         self._control_port = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._memory = Memory(boot.data)
+        self._writer: concurrent.futures.ThreadPoolExecutor | None = None
+        self._written: asyncio.Future[bool] | None = None
 
     async def start(self, control: Address, inner: Address) -> tuple[Address, Address]:
         """Open both doors; gives their addresses."""
+        now = self._loop.time()
+        if remembered := self._memory.open():
+            self.registry.book.hear(now, remembered)
+            log.info("Remembers {} backends.", len(remembered))
+        self.registry.book.changed.clear()
         bound = await self._listener.listen(inner)
         for host, _ in self._boot.seeds:
             self._meet(host)
@@ -110,9 +120,22 @@
                 pass
 
     def _tick(self) -> None:
-        self._carry_out(self.registry.tick(self._loop.time()))
+        now = self._loop.time()
+        self._carry_out(self.registry.tick(now))
+        self._remember(now)
         self._timer = self._loop.call_later(TICK_S, self._tick)
 
+    def _remember(self, now: float) -> None:
+        """Write down what has changed, beside the loop: a disk that hangs holds up nothing else."""
+        book = self.registry.book
+        if not book.changed or (self._written is not None and not self._written.done()):
+            return
+        entries = [book.entries[id].told(now) for id in book.changed if id in book.entries]
+        book.changed.clear()
+        if self._writer is None:
+            self._writer = concurrent.futures.ThreadPoolExecutor(1)
+        self._written = self._loop.run_in_executor(self._writer, self._memory.save, entries)
+
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Confirmed):
@@ -188,6 +211,9 @@
         if self._timer is not None:
             self._timer.cancel()
         self._outside.close()
+        if self._writer is not None:
+            self._writer.shutdown()
+        self._memory.close()
         self._listener.close()
         for dialer in (*self._registries.values(), *self._stores.values()):
             dialer.close()
--- a/pollen/instances.py
+++ b/pollen/instances.py
@@ -43,6 +43,7 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
+        self.changed: dict[str, None] = {}  # ids, since the owner last looked
 
     def hear(self, now: float, word: Iterable[Instance], beat: bool = False) -> list[Entry]:
         """Take word in.
@@ -68,9 +69,11 @@
                 )
                 self.entries[said.id] = known
                 risen.append(known)
+                self.changed[said.id] = None
             elif said.state > known.state:
                 known.state, known.changed_at = said.state, now
                 risen.append(known)
+                self.changed[said.id] = None
             if beat:
                 known.heard_at = now
         return risen
@@ -111,5 +114,6 @@
                     del self.entries[entry.id]
             elif now - entry.heard_at > silent_s:
                 entry.state, entry.changed_at = GONE, now
+                self.changed[entry.id] = None
                 lost.append(entry)
         return lost
--- a/rootstock/daemon.py
+++ b/rootstock/daemon.py
@@ -103,6 +103,9 @@
         self._zones[peer.ip] = peer.zone
         if peer.role == ROLE:
             self.meet(peer.ip, self._boot.port(PORT))
+            dialer = self._dialers.get(peer.ip)
+            if self._replica is not None and dialer is not None and dialer.link is link:
+                self._carry_out(self._replica.linked(asyncio.get_running_loop().time(), peer.ip))
             return
         self._registries[link] = None
         self._callers[f"@{peer.ip}"] = link
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -186,6 +186,8 @@
         self._told: dict[str, Status] = {}  # since the start, by voters that have not lost their disk
         if kept is not None:
             self.kept = kept
+            if kept.record is not None and kept.record.primary == me:
+                self._rest_until = now  # nobody else is to be waited for
         elif first_start and seeds:
             founders = tuple(dict.fromkeys(seeds))
             record = Record(1, founders[0], founders[1] if len(founders) > 1 else "")
@@ -255,8 +257,12 @@
                 pass
         return self.take()
 
-    def lost(self, now: float, peer: str) -> list[Action]:
-        """The way to another replica is gone; its silence tells the rest."""
+    def linked(self, now: float, peer: str) -> list[Action]:
+        """There is a way to another replica now: it is told at once what this one is, and is asked."""
+        self.meet(peer)
+        self._send(peer, self.status)
+        if self.stage in (Stage.ASKS, Stage.SEALS):
+            self._ask_again(now)
         return self.take()
 
     @property
@@ -320,6 +326,8 @@
         if self.stage is not Stage.IDLE and status.promised > self.epoch and not status.blank:
             self._step_down(now, f"epoch {status.promised} was promised elsewhere")
         self._learn_record(status)
+        if self.stage is Stage.RECRUITS and not self.backup:
+            self._recruit(now)
 
     def _learn_record(self, status: Status) -> None:
         """A newer record than the one here: who watches knows whom to watch, and a member that it is one."""
@@ -371,7 +379,7 @@
         highest = max([self.kept.promised] + [p.status.promised for p in self.peers.values() if p.status])
         self.epoch = highest + 1
         self.stage, self._step_until = Stage.ASKS, now + STEP_S
-        self._yes, self._tried = {}, []
+        self._yes, self._tried, self.backup = {}, [], ""
         record = self.kept.record
         self._save(promised=self.epoch)
         if self.me in self.kept.voters:
@@ -453,7 +461,7 @@
         there = [p for p in self.peers if self._heard(now, p) and p not in self._tried]
         there.sort(key=lambda p: (p not in former, p not in self.kept.voters, self._zone_of(p) == zone, p))
         if not there:
-            self._tried = []
+            self._tried, self.backup = [], ""
             self._step_until = now + REST_S
             return
         self.backup = there[0]
@@ -553,10 +561,9 @@
         """Lead a new epoch with another backup; what waits to be kept is asked for again by its callers."""
         self._log(f"New epoch: {why}.")
         self._answer_queue("the backup was lost")
-        self.stage = Stage.IDLE
+        self.stage, lost = Stage.IDLE, self.backup
         self._ask(now)
-        if self.stage is Stage.ASKS:
-            self._tried = [self.backup]
+        self._tried = [lost]
 
     def _next_try(self, now: float) -> None:
         if self.stage is Stage.RECRUITS:
--- a/tamarindfold/fabric.py
+++ b/tamarindfold/fabric.py
@@ -58,6 +58,8 @@
 PRESSED = 0.15  # of the aim, a rank: how much less of it a lower priority may be expected to take
 HOPE = 0.85  # of the time left: what a client that returned may be expected to take; a second refusal is dear
 WAIT_PART = 0.25  # of the aim: what waited longer for this process may not be served in time
+USUAL = 0.9995  # how slowly the longest time that clients wait is forgotten, a request of the route
+WHOLE = 0.97  # of it: a client with less of it has tried before
 LABELS = 64  # timers of one request: more than it can have attempts
 
 
@@ -80,11 +82,18 @@
     )
 
     def __init__(
-        self, event: RequestArrived, cls: RequestClass, tenant: Tenant, work: Work, now: float
+        self,
+        event: RequestArrived,
+        cls: RequestClass,
+        tenant: Tenant,
+        work: Work,
+        now: float,
+        usual_ms: float,
     ) -> None:
         self.event, self.cls, self.tenant, self.work = event, cls, tenant, work
         self.give_up = now + event.time_left_ms
-        self.aim = now + min(cls.aim_ms, event.time_left_ms)
+        # what a client waits less than it usually does has gone by since its first try
+        self.aim = now + min(cls.aim_ms - max(0.0, usual_ms - event.time_left_ms), event.time_left_ms)
         self.tried: list[Backend] = []
         self.out: list[int] = []  # the attempts that have not ended
         self.sendings = 0  # those that may have arrived
@@ -160,7 +169,8 @@
         work = self.works.get(cls.name)
         if work is None:
             work = self.works[cls.name] = Work(cls.aim_ms)
-        call = Call(event, cls, tenant, work, now)
+        work.usual_ms = max(work.usual_ms * USUAL, event.time_left_ms)
+        call = Call(event, cls, tenant, work, now, work.usual_ms * WHOLE)
         pool = self._pool(event.pool)
         self.calls[event.request] = call
         pool.further = min(self._most_further, pool.further + self._ratio)
@@ -182,7 +192,7 @@
 
     def _hopeless(self, now: float, call: Call, choice: Choice) -> bool:
         """Nobody can be expected to answer in time: better told at once to come back."""
-        if call.returning:
+        if call.returning or call.aim <= now:  # told to come, or late already: any answer is better than none
             return choice.expected > (call.give_up - now) * HOPE
         return choice.expected > (call.aim - now) * max(0.3, 1 - PRESSED * call.event.priority)
 
--- a/tamarindfold/placement.py
+++ b/tamarindfold/placement.py
@@ -37,10 +37,11 @@
     dev: of the times over what is expected.
     """
 
-    __slots__ = ("dev", "mean")
+    __slots__ = ("dev", "mean", "usual_ms")
 
     def __init__(self, aim_ms: float) -> None:
         self.mean, self.dev = aim_ms * FIRST_GUESS, 0.5
+        self.usual_ms = 0.0  # how long clients wait at their first try
 
     def learn(self, took: float, expected: float) -> None:
         """One answer."""
--- a/troutdock/http/connection.py
+++ b/troutdock/http/connection.py
@@ -444,7 +444,8 @@
             if exchange.reply is None:
                 exchange.call = call
         except BadRequest as error:
-            exchange.answer(error.status, error.reason.encode(), ((b"Content-Type", b"text/plain"),))
+            retry = ((b"Retry-After", NO_ROOM_S),) if error.status == 503 else ()
+            exchange.answer(error.status, error.reason.encode(), ((b"Content-Type", b"text/plain"), *retry))
         except Exception:
             # guards what the parser would swallow: a request with no answer stands before all later ones
             log.exception("a request could not be taken in")
--- a/troutdock/overload/lag.py
+++ b/troutdock/overload/lag.py
@@ -21,10 +21,11 @@
 class Lag:
     """The lag of one event loop, in milliseconds."""
 
-    __slots__ = ("_due", "_now", "now_ms")
+    __slots__ = ("_due", "_now", "every_s", "now_ms")
 
-    def __init__(self, now: Callable[[], float] = lambda: 0.0) -> None:
-        self.now_ms = 0.0
+    def __init__(self, now: Callable[[], float] = lambda: 0.0, every_s: float = EVERY_S) -> None:
+        """every_s: between two samples."""
+        self.now_ms, self.every_s = 0.0, every_s
         self._now = now  # milliseconds
         self._due = inf
 
@@ -34,8 +35,8 @@
         return self.now_ms > NOTABLE_MS or self._now() - self._due > NOTABLE_MS
 
     def sample(self) -> None:
-        """The timer has fired, EVERY_S after the last time or later."""
+        """The timer has fired, every_s after the last time or later."""
         now = self._now()
         if self._due < inf:
             self.now_ms = max(now - self._due, self.now_ms * FADE)
-        self._due = now + EVERY_S * 1000
+        self._due = now + self.every_s * 1000
