--- a/rootstock/disk.py
+++ b/rootstock/disk.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import sqlite3
+from hashlib import blake2b
 from pathlib import Path
 
 import msgspec
@@ -23,13 +24,20 @@
     0: (
         "CREATE TABLE state (only INTEGER PRIMARY KEY CHECK (only = 1), promised INTEGER NOT NULL,"
         " record TEXT,"
-        " version INTEGER NOT NULL, voters TEXT NOT NULL, blank INTEGER NOT NULL, given INTEGER NOT NULL)",
+        " version INTEGER NOT NULL, voters TEXT NOT NULL, blank INTEGER NOT NULL, given INTEGER NOT NULL,"
+        " mark TEXT NOT NULL)",
         "CREATE TABLE configurations"
-        " (version INTEGER PRIMARY KEY, body BLOB NOT NULL, epoch INTEGER NOT NULL)",
+        " (version INTEGER PRIMARY KEY, body BLOB NOT NULL, epoch INTEGER NOT NULL,"
+        " mark TEXT NOT NULL)",
     )
 }
 
 
+def _mark(*fields: object) -> str:
+    """What tells that a row is as it was written: sqlite finds broken pages, not changed bytes."""
+    return blake2b(repr(fields).encode(), digest_size=12).hexdigest()
+
+
 class DiskError(OSError):
     """The disk refuses or what lies on it is damaged."""
 
@@ -86,15 +94,22 @@
             schema += 1
             base.execute(f"PRAGMA user_version = {schema}")
             base.execute("COMMIT")
-        row = base.execute("SELECT promised, record, version, voters, blank, given FROM state").fetchone()
+        row = base.execute(
+            "SELECT promised, record, version, voters, blank, given, mark FROM state"
+        ).fetchone()
         if row is None:
             return None
-        promised, record, version, voters, blank, given = row
+        *fields, mark = row
+        if _mark(*fields) != mark:
+            raise sqlite3.DatabaseError("malformed: the state does not fit its mark")
+        promised, record, version, voters, blank, given = fields
         body = b""
         if version:
-            kept = base.execute("SELECT body FROM configurations WHERE version = ?", (version,)).fetchone()
-            if kept is None:
-                raise sqlite3.DatabaseError(f"malformed: version {version} is missing")
+            kept = base.execute(
+                "SELECT body, mark FROM configurations WHERE version = ?", (version,)
+            ).fetchone()
+            if kept is None or _mark(version, kept[0]) != kept[1]:
+                raise sqlite3.DatabaseError(f"malformed: version {version} is missing or spoilt")
             body = kept[0]
         self._version = version
         return Kept(
@@ -130,24 +145,18 @@
             if kept.version != self._version and kept.version:
                 base.execute("DELETE FROM configurations WHERE version > ?", (kept.version,))
                 base.execute(
-                    "INSERT OR REPLACE INTO configurations VALUES (?, ?, ?)",
-                    (kept.version, kept.body, kept.promised),
+                    "INSERT OR REPLACE INTO configurations VALUES (?, ?, ?, ?)",
+                    (kept.version, kept.body, kept.promised, _mark(kept.version, kept.body)),
                 )
                 base.execute(
                     "DELETE FROM configurations WHERE version NOT IN"
                     " (SELECT version FROM configurations ORDER BY version DESC LIMIT ?)",
                     (HISTORY,),
                 )
+            voters = msgspec.json.encode(list(kept.voters)).decode()
+            fields = (kept.promised, record, kept.version, voters, int(kept.blank), kept.given)
             base.execute(
-                "INSERT OR REPLACE INTO state VALUES (1, ?, ?, ?, ?, ?, ?)",
-                (
-                    kept.promised,
-                    record,
-                    kept.version,
-                    msgspec.json.encode(list(kept.voters)).decode(),
-                    int(kept.blank),
-                    kept.given,
-                ),
+                "INSERT OR REPLACE INTO state VALUES (1, ?, ?, ?, ?, ?, ?, ?)", (*fields, _mark(*fields))
             )
             base.execute("COMMIT")
         except sqlite3.Error as error:
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -176,7 +176,7 @@
         self._step_until = self._again_at = -inf
         self._rest_until = now + SILENT_S
         self._told_at = -inf
-        self._promised_to = ""  # who asked for what was promised last, in this life
+        self._promised_to = 0, ""  # the epoch that was promised last in this life, and to whom
         self._tried: list[str] = []  # backups that did not answer in this try
         self._in_force, self._body_in_force = 0, b""
         self._queue: list[_Waiting] = []
@@ -323,7 +323,15 @@
             self._told[sender] = status
         if self.kept.blank:
             self._learn()
-        if self.stage is not Stage.IDLE and status.promised > self.epoch and not status.blank:
+        if (
+            self.stage is Stage.ACTIVE
+            and sender == self.backup
+            and not status.holds
+            and (now - self._backup_since > SILENT_S)
+        ):
+            # its disk was lost and it was back before its silence was noticed
+            self._reform(now, f"backup {sender} has lost what it was given")
+        elif self.stage is not Stage.IDLE and status.promised > self.epoch and not status.blank:
             self._step_down(now, f"epoch {status.promised} was promised elsewhere")
         self._learn_record(status)
         if self.stage is Stage.RECRUITS and not self.backup:
@@ -413,7 +421,7 @@
             if lives:  # rule 6
                 self._send(sender, Promise(epoch, False, 0, record))
                 return
-        if epoch == kept.promised and self._promised_to == sender:
+        if (epoch, sender) == self._promised_to and epoch == kept.promised:
             self._send(sender, Promise(epoch, True, epoch, record))  # the answer was lost
             return
         if epoch <= kept.promised:
@@ -422,7 +430,7 @@
         if self.stage is not Stage.IDLE:
             self._step_down(now, f"{sender} asks for epoch {epoch}")
         self._save(promised=epoch)
-        self._promised_to = sender
+        self._promised_to = epoch, sender
         self._rest_until = max(self._rest_until, now + STEP_S * 2)
         self._send(sender, Promise(epoch, True, epoch, record))
 
--- a/tamarindfold/fabric.py
+++ b/tamarindfold/fabric.py
@@ -54,6 +54,7 @@
 # of the budget's ratio that is spent: repeats of repeats and calls by others' ways are not seen here
 PART = 0.75
 ALLOWANCE_PART = 0.5  # of its allowance, split by ingresses
+UNNOTICED_S = 1.2  # for so long an ingress that is not heard any more is taken for heard
 UNCONNECTED = 3  # backends that can't be connected to, after which a try is given up
 PRESSED = 0.15  # of the aim, a rank: how much less of it a lower priority may be expected to take
 HOPE = 0.85  # of the time left: what a client that returned may be expected to take; a second refusal is dear
@@ -227,6 +228,11 @@
     def _company(self, now: float, event: Company) -> None:
         for number, tenant in self.tenants.items():  # the time until now is filled as it was
             self._tenant(now, number, tenant.plan)
+        lost = self.company.heard - event.heard
+        if lost > 0 and event.ingresses > 1:
+            # until it was noticed, the level was filled as if they were heard
+            for tenant in self.tenants.values():
+                tenant.others(tenant.plan.rate * lost / event.ingresses * UNNOTICED_S)
         self.company = event
 
     # ---- backends
--- /dev/null
+++ b/tests/system/test_rooms.py
@@ -0,0 +1,198 @@
+"""Netstrings, messages, settings, configurations, the disk: bad input is named, and nothing is lost by it."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almanac.boot import boot_of, load_boot
+from almanac.configuration import Configuration, Refused, read_configuration
+from almanac.settings import SettingsError
+from furrow.messages import Beats, Instance, Instances, MessageError, Record, decode, encode
+from furrow.netstring import Deframer, FrameError, frame
+from rootstock.disk import FILE, Disk, DiskError
+from rootstock.replica import Kept
+
+# ---- netstrings
+
+
+@given(st.lists(st.binary(max_size=300)), st.data())
+def test_frames_come_whole_however_they_are_cut(payloads: list[bytes], data: st.DataObject) -> None:
+    wire = b"".join(map(frame, payloads))
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(wire)), max_size=8)))
+    deframer, found = Deframer(), []
+    for start, end in zip([0, *cuts], [*cuts, len(wire)], strict=True):
+        found += list(deframer.feed(wire[start:end]))
+    assert found == payloads
+
+
+@pytest.mark.parametrize("wire", [b"x:1,", b"01:a,", b"-1:,", b"1:ab", b"99999999999", b"2000:", b":,"])
+def test_what_is_no_frame_is_refused(wire: bytes) -> None:
+    with pytest.raises(FrameError):
+        list(Deframer(1000).feed(wire))
+
+
+@pytest.mark.parametrize("payload", [b"", b"{}", b"[1]", b'{"t":"nobody"}', b'{"t":"beats","ids":[1]}', b'{"t":"inst"',
+                                     b"\xff", b'{"t":"put","number":1,"version":"x","body":{}}'])
+def test_what_is_no_message_is_refused(payload: bytes) -> None:
+    with pytest.raises(MessageError):
+        decode(payload)
+
+
+def test_messages_come_back_as_they_were_and_unknown_fields_are_dropped() -> None:
+    message = Instances([Instance("i", "s", "10.0.0.1:80", "a", 2, 1, 0.5)], 4)
+    assert decode(encode(message)) == message
+    assert decode(b'{"t":"beats","ids":["i"],"later":1}') == Beats(["i"])
+
+
+# ---- settings
+
+BOOT = {"nodeName": "n", "ipAddress": "10.0.0.1", "zone": "a", "internalPortRange": [7000, 7003],
+        "bindAddresses": {"http": "10.0.0.1:80"}, "seedNodes": ["10.0.0.2:81"], "unknown": {"x": 1}}
+
+
+def test_boot_settings_take_defaults_and_leave_the_unknown_alone() -> None:
+    boot = boot_of(BOOT)
+    assert boot.values["bounds.graceS"] == 6.0 and boot.seeds == (("10.0.0.2", 81),) and boot.port(9) == 7003
+
+
+@pytest.mark.parametrize(("change", "place"), [
+    ({"nodeName": None}, "nodeName"), ({"seedNodes": ["nowhere"]}, "seedNodes"), ({"internalPortRange": [9]}, "internalPort"),
+    ({"internalPortRange": [9, 8]}, "internalPort"), ({"bounds": {"graceS": "six"}}, "bounds.graceS"),
+    ({"bootstrap": "yes"}, "bootstrap"), ({"configMode": "lowest"}, "configMode"), ({"heartbeatS": float("nan")}, "heartbeatS")])
+def test_bad_boot_settings_name_the_place(change: dict, place: str) -> None:
+    with pytest.raises(SettingsError, match=place):
+        boot_of({**BOOT, **change})
+
+
+@pytest.mark.parametrize("text", [b"a: [", b"\xff\xfe", b"- 1", b""])
+def test_a_file_that_is_no_settings_names_itself(tmp_path: Path, text: bytes) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_bytes(text)
+    with pytest.raises(SettingsError, match=r"boot\.yaml"):
+        load_boot(str(path))
+
+
+# ---- configurations
+
+
+def configuration() -> dict:
+    return {
+        "revision": "r7",
+        "routes": {"columns": ["name", "hostname", "pathPrefix", "routeType", "timeoutS", "trafficSplit", "service"], "rows": [
+            ["one", "a.example", "/x/", "read_only", 5, [{"service": "s", "weight": 1}, {"service": "t", "weight": 0}], None],
+            ["two", "a.example", "/x/y/", "mutating", 6, None, "t"]]},
+        "services": {"columns": ["name", "healthPath", "maxConnections", "protocol", "tls"], "rows": [
+            ["s", "/health", 130, "h1", False], ["t", "/health", None, "h1", False]]},
+        "tenants": {"columns": ["name", "apiKeys", "ratePerS", "burst"], "rows": [["a", ["k1", "k2"], 5, None], ["b", ["k3"], 0, 0]]}}
+
+
+def test_a_proper_configuration_is_read_whole() -> None:
+    found = read_configuration(json.dumps(configuration()).encode())
+    assert isinstance(found, Configuration)
+    assert found.version == 7 and found.routes[0].to == (("s", 1.0), ("t", 0.0)) and not found.routes[1].read_only
+    assert [t.rate for t in found.tenants or ()] == [5.0, 0.0] and found.limits.idle_ms == 15_000
+
+
+@pytest.mark.parametrize(("where", "value", "place"), [
+    (("revision",), 7, "revision"), (("revision",), "r", "revision"), (("revision",), "r-1", "revision"),
+    (("routes", "rows", 1, 6), "nobody", r"routes\.rows\[1\]"), (("routes", "rows", 1, 2), "/x/", r"routes\.rows\[1\]"),
+    (("routes", "rows", 0, 5), [{"service": "s", "weight": 0}], "add up"), (("routes", "rows", 0, 3), "odd", "routeType"),
+    (("routes", "rows", 0, 4), None, "timeoutS"), (("routes", "rows", 0, 4), 0, "timeoutS"),
+    (("routes", "rows", 0, 2), "x", "pathPrefix"), (("routes", "rows", 0), ["short"], r"routes\.rows\[0\]"),
+    (("routes", "rows", 1, 6), None, "neither"), (("routes", "columns", 0), "hostname", "columns"), (("routes",), 5, "routes"),
+    (("services", "rows", 1, 0), "s", "twice"), (("services", "rows", 0, 4), True, "tls"),
+    (("tenants", "rows", 1, 1), ["k1"], "key"), (("tenants", "rows", 1, 0), "a", "name"), (("tenants", "rows", 0, 2), -1, "ratePerS"),
+    (("limits",), {"maxBodyBytes": -1}, "maxBodyBytes"), (("tenants", "rows", 0, 1), "k1", "apiKeys")])
+def test_a_bad_configuration_names_the_place(where: tuple, value: object, place: str) -> None:
+    given = configuration()
+    at: object = given
+    for step in where[:-1]:
+        at = at[step]  # type: ignore[index]
+    at[where[-1]] = value  # type: ignore[index]
+    found = read_configuration(json.dumps(given).encode())
+    assert isinstance(found, Refused)
+    import re
+    assert re.search(place, str(found))
+
+
+def test_a_configuration_that_is_cut_short_anywhere_is_none() -> None:
+    whole = json.dumps(configuration()).encode()
+    assert all(isinstance(read_configuration(whole[:n]), Refused) for n in range(len(whole)))
+
+
+# ---- the disk
+
+KEPT = Kept(5, Record(4, "10.0.0.1", "10.0.0.2"), 9, b'{"v":9}' * 40, ("10.0.0.1", "10.0.0.2", "10.0.0.3"), False, 4)
+
+
+def store(folder: Path) -> None:
+    disk = Disk(folder)
+    assert disk.open() is None
+    disk.save(Kept(1, None, 3, b'{"v":3}', KEPT.voters, False, 1))
+    disk.save(KEPT)
+    disk.close()
+
+
+def test_what_was_saved_is_there_and_history_is_bounded(tmp_path: Path) -> None:
+    store(tmp_path)
+    disk = Disk(tmp_path)
+    assert disk.open() == KEPT
+    for version in range(10, 80):
+        disk.save(Kept(5, KEPT.record, version, b"{}", KEPT.voters, False, 4))
+    disk.close()
+    count = sqlite3.connect(tmp_path / FILE).execute("SELECT count(*) FROM configurations").fetchone()[0]
+    assert count <= 32
+
+
+def test_a_file_truncated_or_spoilt_anywhere_is_read_whole_or_set_aside(tmp_path: Path) -> None:
+    store(tmp_path / "good")
+    path = tmp_path / "good" / FILE
+    whole = path.read_bytes()
+    outcomes = set()
+    for at in range(0, len(whole), 512):
+        for spoilt in (whole[:at], whole[:at] + bytes(b ^ 0x5A for b in whole[at:at + 64]) + whole[at + 64:]):
+            folder = tmp_path / "bad"
+            folder.mkdir()
+            (folder / FILE).write_bytes(spoilt)
+            disk = Disk(folder)
+            try:
+                found = disk.open()
+            except DiskError:
+                found = None
+            assert found is None or found == KEPT, at
+            outcomes.add(found is None)
+            disk.close()
+            for left in folder.iterdir():
+                left.unlink()
+            folder.rmdir()
+    assert outcomes == {True, False}
+
+
+def test_a_disk_that_refuses_is_an_error_and_nothing_is_taken_for_kept(tmp_path: Path) -> None:
+    store(tmp_path)
+    disk = Disk(tmp_path)
+    disk.open()
+    disk._base.execute("PRAGMA query_only = ON")  # type: ignore[union-attr]
+    with pytest.raises(DiskError):
+        disk.save(Kept(6, KEPT.record, 10, b"{}", KEPT.voters, False, 4))
+    with pytest.raises(DiskError):
+        disk.save(KEPT)
+    assert disk.open() == KEPT
+    disk.close()
+
+
+def test_a_newer_schema_is_left_alone(tmp_path: Path) -> None:
+    store(tmp_path)
+    base = sqlite3.connect(tmp_path / FILE)
+    base.execute("PRAGMA user_version = 99")
+    base.commit()
+    base.close()
+    with pytest.raises(DiskError, match="newer"):
+        Disk(tmp_path).open()
+    assert (tmp_path / FILE).exists()
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -98,3 +98,37 @@
     for unused in ("troutdock.asgi", "troutdock.library", "troutdock.plans", "troutdock.usage", "troutdock.reservations", "troutdock.grpc", "troutdock.http2", "troutdock.routing", "troutdock.routed",
                    "troutdock.operator", "troutdock.cli", "starlette"):
         assert unused not in done.stdout
+
+
+# the whole gateway: the files that decide on servers, repeats and refusals there, held to the same limits
+SYSTEM_POLICY = ["tamarindfold/fabric.py", "tamarindfold/tenant.py", "tamarindfold/placement.py", "tamarindfold/diba.py",
+                 "tamarindfold/circuit.py"]
+SYSTEM_MAY_IMPORT = {
+    "almanac": {"almanac"},
+    "furrow": {"furrow"},
+    "pollen": {"pollen", "furrow"},
+    "rootstock": {"rootstock", "furrow", "almanac", "pollen"},
+    "hedgerow": {"hedgerow", "furrow", "almanac", "pollen"},
+    "espalier": {"espalier", "furrow", "almanac", "pollen", "troutdock", "tamarindfold"},
+}
+PURE = ["rootstock/replica.py", "hedgerow/registry.py", "pollen/instances.py", "pollen/order.py", "espalier/shares.py",
+        "espalier/routes.py", "furrow/netstring.py", "almanac/configuration.py", *SYSTEM_POLICY]
+
+
+def test_the_systems_decisions_keep_the_limits() -> None:
+    assert sum(bool(line.strip()) for name in SYSTEM_POLICY for line in (ROOT / name).read_text().splitlines()) <= 1200
+
+
+@pytest.mark.parametrize("part", SYSTEM_MAY_IMPORT)
+def test_programs_import_rooms_and_never_one_another(part: str) -> None:
+    ours = {*SYSTEM_MAY_IMPORT, "troutdock", "tamarindfold"}
+    for file in sorted((ROOT / part).glob("*.py")):
+        found = set(re.findall(r"^\s*(?:from|import) (\w+)", file.read_text(), re.M)) & ours
+        assert found <= SYSTEM_MAY_IMPORT[part], file
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_state_machines_have_no_clock_and_no_io(name: str) -> None:
+    text = (ROOT / name).read_text()
+    assert not re.search(r"^\s*(import|from) (time|os|socket|threading|asyncio|datetime|sqlite3|logbook|uvloop)\b", text, re.M)
+    assert not re.search(r"\bopen\(|\bprint\(|\bglobal\b", text)
