--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -138,9 +138,9 @@
             elif isinstance(action, InForce):
                 self._shown(machine, action)
         replica = machine.replica
-        if replica is not None and replica.stage is Stage.ACTIVE:
-            if self.actives.setdefault(replica.epoch, machine.ip) != machine.ip:
-                raise Violation(f"epoch {replica.epoch} has two primaries")
+        if replica is not None and replica.stage is Stage.ACTIVE and (
+                self.actives.setdefault(replica.epoch, machine.ip) != machine.ip):
+            raise Violation(f"epoch {replica.epoch} has two primaries")
 
     def _send(self, machine: Machine, to: str, message: Message) -> None:
         if to == HERE:
--- a/tests/peers/company.py
+++ b/tests/peers/company.py
@@ -73,7 +73,7 @@
             self._company(other)
         for other in self.ingresses.values():
             if other is not ingress and other.alive and (other.name, name) not in self.cut:
-                levels = {"tenant": t.level for t in other.fabric.tenants.values()}
+                levels = {t.plan.name: t.level for t in other.fabric.tenants.values()}
                 shares = other.exchange.full(self.now / 1000, levels, other.zone != zone)
                 ingress.exchange.hear(self.now / 1000, shares, other.zone, self.zone_of)
                 own = ingress.exchange.full(self.now / 1000, {}, other.zone != zone)
