--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -105,7 +105,7 @@
         actions = self._back([said.id], now)
         if not risen and said.state == 0:
             return 0, actions
-        entries = [self.book.entries[said.id].told(now)]
+        entries = [e.told(now) for e in risen] or [self.book.entries[said.id].told(now)]
         if said.state == 0:
             return 0, [*actions, *self._flood(entries, None)]
         # also where it is known already: the caller asks again because it was not told
--- a/pollen/instances.py
+++ b/pollen/instances.py
@@ -32,6 +32,14 @@
     changed_at: float
     silent: bool = False
 
+    def _replaced(self, now: float, by: Entry) -> list[Entry]:
+        """Those whose address another one serves at now: a start has its id for life, so they have ended."""
+        gone = [e for e in self.entries.values() if e.address == by.address and e is not by and e.state != GONE]
+        for entry in gone:
+            entry.state, entry.changed_at = GONE, now
+            self.changed[entry.id] = None
+        return gone
+
     def told(self, now: float) -> Instance:
         """As it is said to others now."""
         warm_s = max(0.0, round(self.warm_at - now, 3))
@@ -70,6 +78,8 @@
                 self.entries[said.id] = known
                 risen.append(known)
                 self.changed[said.id] = None
+                if beat:
+                    risen += self._replaced(now, known)
             elif said.state > known.state:
                 known.state, known.changed_at = said.state, now
                 risen.append(known)
@@ -78,6 +88,14 @@
                 known.heard_at = now
         return risen
 
+    def _replaced(self, now: float, by: Entry) -> list[Entry]:
+        """Those whose address another one serves at now: a start has its id for life, so they have ended."""
+        gone = [e for e in self.entries.values() if e.address == by.address and e is not by and e.state != GONE]
+        for entry in gone:
+            entry.state, entry.changed_at = GONE, now
+            self.changed[entry.id] = None
+        return gone
+
     def told(self, now: float, all_states: bool = True) -> list[Instance]:
         """Everything, as it is said to others."""
         return [entry.told(now) for entry in self.entries.values() if all_states or entry.state != GONE]
--- a/tamarindfold/fabric.py
+++ b/tamarindfold/fabric.py
@@ -276,6 +276,8 @@
     def _suspected(self, now: float, event: Suspected) -> None:
         if (backend := self.backends.get(event.backend)) is not None:
             backend.silent = event.silent
+            if not event.silent and backend.entry.state is BackendState.READY:
+                backend.pool.ready[event.backend] = backend
 
     def _changed(self, now: float, event: SettingsChanged) -> None:
         self.settings = event.settings
@@ -385,6 +387,8 @@
             backend.circuit.could_not_connect(now)
         else:
             backend.circuit.unknown()
+        if outcome is Outcome.MOOT:  # another one serves at its address: it has ended, whatever the list says
+            backend.pool.ready.pop(event.backend, None)
         if outcome is Outcome.OK:
             backend.silent = False
             took = event.elapsed_ms - event.lag_ms
--- a/tests/system/test_fabric.py
+++ b/tests/system/test_fabric.py
@@ -8,7 +8,7 @@
 from tamarindfold.fabric import Fabric
 from tamarindfold.interface import (
     AttemptEnded, BackendEntry, BackendState, Company, Effect, Fail, FleetUpdate, ListKind, OthersLoad,
-    Outcome, Refuse, Send, SetTimer, TimerFired,
+    Outcome, Refuse, Send, SetTimer, Suspected, TimerFired,
 )
 
 NEVER_RAN = [Outcome.FULL, Outcome.MOOT, Outcome.CONNECT_FAILED]
@@ -180,3 +180,14 @@
     assert tenant.level == 5.0
 
 
+
+
+def test_a_backend_whose_address_is_anothers_is_left_until_it_is_heard_of() -> None:
+    f = fabric(backends=2)
+    f.pools[0].further = 9.0
+    (send,) = of(Send, f.handle(1.0, arrival(1)))
+    f.handle(2.0, ended(send, Outcome.MOOT))
+    for n in range(2, 6):
+        assert of(Send, f.handle(3.0 + n, arrival(n)))[0].backend != send.backend
+    f.handle(20.0, Suspected(send.backend, False))
+    assert send.backend in f.pools[0].ready
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -175,3 +175,14 @@
     assert not any(isinstance(a.message, Members) for a in registry.tick(2.0) if isinstance(a, Tell))
     gone = [a.message for a in registry.tick(5.5) if isinstance(a, Tell)]
     assert Members([], ["e2"]) in gone
+
+
+def test_one_whose_address_another_serves_at_has_ended() -> None:
+    registry = Registry(0.0, 1.5)
+    registry.registry_up(0.0, "r", "10.0.0.2", "b")
+    registry.beat(0.0, instance("i-1"), 1)
+    _, actions = registry.beat(5.0, instance("i-2"), 1)
+    told = next(a.message for a in actions if isinstance(a, Tell) and a.to is None and isinstance(a.message, Instances))
+    assert {(e.id, e.state) for e in told.entries} == {("i-1", GONE), ("i-2", READY)}
+    registry.hear(6.0, "r", Instances([instance("i-1")]))  # late word changes nothing
+    assert registry.book.entries["i-1"].state == GONE
