--- a/espalier/daemon.py
+++ b/espalier/daemon.py
@@ -361,7 +361,7 @@
             async with asyncio.timeout(max(0.1, grace_s - LEFT_S)):
                 await self.server.drain()
         except TimeoutError:
-            log.warn("Grace is over: {} requests open.", self.engine.open)
+            log.warning("Grace is over: {} requests open.", self.engine.open)
         self.engine.close()
         self.feed.close()
         self.mesh.close()
--- a/espalier/mesh.py
+++ b/espalier/mesh.py
@@ -48,7 +48,7 @@
         self._zones: dict[str, str] = {}
         self._listener = Listener(lambda: Link(hello, self._heard, self._up, self._down))
         self._zone_due = False
-        self._timers: list[asyncio.TimerHandle] = []
+        self._closed = False
         self._began = self._loop.time()
         self._told = (0, 0)
 
@@ -99,7 +99,8 @@
             payload = encode(shares)
             for link in away:
                 link.send_payload(payload)
-        self._timers[:] = [self._loop.call_later(AWAY_S, self._away)]
+        if not self._closed:
+            self._loop.call_later(AWAY_S, self._away)
 
     # ---- links
 
@@ -174,6 +175,8 @@
             self._soon()
 
     def _look(self) -> None:
+        if self._closed:
+            return
         now = self._loop.time()
         for name in self._neighbours():
             self.exchange.alive(now, name)
@@ -184,7 +187,8 @@
             self._on_news(news)
         self._dial()
         self._tell_company()
-        self._loop.call_later(LOOK_S, self._look)
+        if not self._closed:
+            self._loop.call_later(LOOK_S, self._look)
 
     def _tell_company(self) -> None:
         company = self.exchange.company(self._loop.time())
@@ -194,8 +198,7 @@
 
     def close(self) -> None:
         """End in order."""
-        for timer in self._timers:
-            timer.cancel()
+        self._closed = True
         self._listener.close()
         for dialer in self._dialers.values():
             dialer.close()
--- a/furrow/link.py
+++ b/furrow/link.py
@@ -72,7 +72,7 @@
             self._ended()
             return False
         if self._transport.get_write_buffer_size() + len(payload) > MOST_UNSENT:
-            log.warn("Link cut: {} does not read.", self.peer.name if self.peer else "a stranger")
+            log.warning("Link cut: {} does not read.", self.peer.name if self.peer else "a stranger")
             self.cut()
             return False
         self._transport.write(frame(payload))
@@ -97,7 +97,7 @@
                 if not self.open:
                     return
         except (FrameError, MessageError) as error:
-            log.warn("Link cut: {}", error)
+            log.warning("Link cut: {}", error)
             self.cut()
 
     def _beat(self) -> None:
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -196,7 +196,7 @@
         if isinstance(answer, Done):
             log.info("Put r{}: {}.", version, "kept" if answer.ok else answer.why)
             return None if answer.ok else answer.why
-        log.warn("Put r{}: no answer of the store.", version)
+        log.warning("Put r{}: no answer of the store.", version)
         return "the store does not answer"
 
     async def newest(self) -> tuple[int, bytes] | str:
--- /dev/null
+++ b/tests/system/test_three_programs.py
@@ -0,0 +1,150 @@
+"""The three programs together, over loopback sockets, with scripted backends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from whole import CONFIGURATION, Backend, Whole, call, good, until
+
+KEY = ("Key: key", "Deadline-Ms: 4000")
+
+
+def play(folder: Path, story: Callable[[Whole], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        w = Whole(folder)
+        try:
+            await w.start()
+            await story(w)
+        finally:
+            await w.close()
+
+    asyncio.run(asyncio.wait_for(whole(), 50))
+
+
+async def served(w: Whole, *backends: Backend) -> None:
+    """A configuration in force, and backends known."""
+    assert await w.put() == 200
+    for backend in backends:
+        await backend.start()
+        assert await w.beat(backend) == 200
+    await w.ready()
+    ids = {backend.id for backend in backends}
+    await until(lambda: all(ids <= i.book.entries.keys() for i in w.ingresses.values()))
+
+
+def test_a_request_reaches_its_backend_as_the_pages_say(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        backend = Backend("i-1", good)
+        await served(w, backend)
+        http = w.http(w.edge[0])
+        status, headers, body = await call(http, "POST", "/write/x?y=1", b"payload", *KEY, "Attempt-Id: a1", "Tenant-Name: other",
+                                           "X-More: kept")
+        assert (status, body) == (200, b"whole") and headers["response-signature"] == "s" and headers["attempt-id"] == "a1"
+        (seen,) = backend.seen
+        assert seen[":first"] == "POST /write/x?y=1 HTTP/1.1" and seen[":body"] == "payload" and seen["x-more"] == "kept"
+        assert seen["tenant-name"] == "t" and seen["expected-instance"] == "i-1" and "key" not in seen
+        assert 0 < int(seen["deadline-ms"]) < 4000
+        for path, key, expected in (("/read/", "nobody", 401), ("/nowhere/", "key", 404), ("/open/", "nobody", 200)):
+            assert (await call(http, "GET", path, b"", f"Key: {key}", "Attempt-Id: a2"))[0] == expected
+        assert backend.seen[-1].get("tenant-name") is None
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize(("says", "path", "status"), [
+    (lambda _: (503, {"Not-Executed": "1"}, b""), "/write/", 200),  # declined: the other one runs it
+    (lambda _: (421, {}, b""), "/write/", 200),
+    (lambda _: None, "/write/", 502),  # it may have run: nothing is promised
+    (lambda _: None, "/read/", 200),
+    (lambda _: (200, {}, b"no stamp"), "/read/", 200),
+    (lambda _: (200, {}, b"no stamp"), "/write/", 502),
+    (lambda _: (200, {"Response-Signature": "s", "Content-Encoding": "gzip"}, b"x"), "/write/", 502),
+    (lambda _: (500, {"Response-Signature": "s"}, b"its own"), "/write/", 500),  # as it came
+    (lambda h: (200, {"Response-Signature": "s", "Attempt-Id": "stale"}, b"late") , "/read/", 200),
+])
+def test_outcomes_over_two_backends(tmp_path: Path, says: Callable, path: str, status: int) -> None:
+    async def story(w: Whole) -> None:
+        bad, fine = Backend("i-bad", says), Backend("i-fine", good)
+        await served(w, bad, fine)
+        ingress = w.ingresses[w.edge[0]]
+        number = {id: n for n, id in ingress._instance_of.items()}
+        ingress.fabric.backends[number[b"i-fine"]].speed = 3.0  # so that the bad one is asked first
+        for pool in ingress.fabric.pools.values():
+            pool.further = 5.0
+        found, _, body = await call(w.http(w.edge[0]), "POST" if path == "/write/" else "GET", path, b"", *KEY, "Attempt-Id: a1")
+        assert len(bad.seen) == 1
+        assert found == status
+        if status == 200:
+            assert body == b"whole" and len(fine.seen) == 1
+        else:
+            assert not fine.seen
+
+    play(tmp_path, story)
+
+
+def test_a_drain_binds_everywhere_once_it_is_acknowledged(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        one, two = Backend("i-1", good), Backend("i-2", good)
+        await served(w, one, two)
+        assert await w.beat(one, "draining", 2, w.core[0]) == 200
+        w.registries[w.core[0]].close()  # it dies at once
+        await until(lambda: all(e.book.entries["i-1"].state == 1 for e in w.ingresses.values()))
+        for n in range(6):
+            assert (await call(w.http(w.edge[n % 2]), "GET", "/read/", b"", *KEY, f"Attempt-Id: b{n}"))[0] == 200
+        assert not one.seen
+
+    play(tmp_path, story)
+
+
+def test_who_comes_before_the_configuration_waits_at_the_door(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        backend = Backend("i-1", good)
+        await served(w, backend)
+        ingress = w.ingresses.pop(w.edge[1])
+        ingress.server.drain_accept_s = ingress.server.drain_most_s = 0.0
+        await ingress.end(5.0)
+        again = await w.start_ingress(w.edge[1])
+        assert not again.ready
+        assert (await call(w.http(w.edge[1]), "GET", "/read/", b"", *KEY, "Attempt-Id: c1"))[0] == 200
+
+    play(tmp_path, story)
+
+
+def test_the_primary_dies_and_what_was_acknowledged_is_read_back(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        assert await w.put() == 200
+        leader = next(ip for ip, s in w.stores.items() if s._fresh)
+        w.stores.pop(leader).close()
+        w.registries.pop(leader).close()
+        other = next(ip for ip in w.core if ip != leader)
+        newer = {**CONFIGURATION, "revision": "r9"}
+        assert await w.put(newer, other) == 200
+        await until(lambda: all(i.reader.table and i.reader.table.version == 9 for i in w.ingresses.values()))
+        status, _, body = await call(w.control(other), "GET", "/configuration/describe")
+        assert (status, json.loads(body)) == (200, newer)
+        assert await w.put(CONFIGURATION, other) == 200  # an old one comes again: no effect
+        assert json.loads((await call(w.control(other), "GET", "/configuration/describe"))[2]) == newer
+        assert await w.put({**CONFIGURATION, "revision": "r10", "routes": 5}, other) == 400
+
+    play(tmp_path, story)
+
+
+@pytest.mark.parametrize("garbage", [b"5:hello,", b"GET / HTTP/1.1\r\n\r\n", b"99999999:", b'14:{"t":"ping","x"},'])
+def test_garbage_on_an_inner_port_ends_that_connection_only(tmp_path: Path, garbage: bytes) -> None:
+    async def story(w: Whole) -> None:
+        backend = Backend("i-1", good)
+        await served(w, backend)
+        for ip in (w.core[0], w.edge[0]):
+            reader, writer = await asyncio.open_connection(ip, w.ports)
+            writer.write(garbage)
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                while True:
+                    await reader.readexactly(1)
+            writer.close()
+        assert (await call(w.http(w.edge[0]), "GET", "/read/", b"", *KEY, "Attempt-Id: d1"))[0] == 200
+
+    play(tmp_path, story)
