Speakers dial as soon as their zone is linked: quotas after a mass restart

Ruled out: recovery of the store, the budget.

Change: it waits until its listed neighbours are linked, 0.5 s at most, and looks again with each link.

--- a/espalier/mesh.py
+++ b/espalier/mesh.py
@@ -112,6 +112,8 @@
         ]
 
     def _dial(self) -> None:
+        if self._closed:
+            return
         linked = [(link.peer.name, link.peer.zone) for link in self._links if link.peer is not None]
         failing = [name for name, dialer in self._dialers.items() if dialer.tried and not dialer.up]
         wanted = {m.name: m for m in self.exchange.wanted(self._loop.time(), linked, failing)}
@@ -135,6 +137,7 @@
         self._links[link] = None
         away = peer.zone != self._boot.zone
         link.send(self.exchange.full(self._loop.time(), self._levels(), away))
+        self._loop.call_soon(self._dial)  # this one may speak for its zone now
 
     def _down(self, link: Link) -> None:
         if link in self._links:
--- a/espalier/shares.py
+++ b/espalier/shares.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from math import inf
 
 from furrow.messages import Member, Share, Shares
 from pollen.order import first, in_order
@@ -17,6 +18,7 @@
 STALE_S = 1.2  # an ingress that was not heard of for so long tells nothing any more
 LOST_S = 10.0  # one that has left the list without being heard to end still counts for so long
 ALIVE_S = 0.4  # at least so often another zone's speaker is told who is heard here
+MEET_S = 0.5  # for the neighbours in the zone that are listed to be linked
 UNLINKED_S = 1.0  # a zone whose speaker has not dialled for so long is dialled
 SPEAKS = "speaker"  # the duty's name
 TAGS = 10_000  # of lives
@@ -74,6 +76,7 @@
         self._names: dict[str, int] = {}  # own table
         self._tables: dict[str, list[str]] = {}  # of neighbours, by name
         self._unlinked: dict[str, float] = {}  # other zones, and since when none of theirs is linked
+        self._alone_since = inf  # a listed neighbour in the zone is not linked
         self._told_alive = 0.0
         self.settled = False  # others' numbers of before are known, so that only what is new counts as new
 
@@ -121,7 +124,13 @@
                 self._unlinked.pop(zone, None)
             else:
                 self._unlinked.setdefault(zone, now)
-        if self.settled and self.speaker(near):
+        # who is not linked to its own zone yet does not know who speaks for it
+        unmet = [m.name for m in self.members.values() if m.zone == self.zone and m.name not in near]
+        if unmet and set(unmet) - set(failing):
+            self._alone_since = min(self._alone_since, now)
+        else:
+            self._alone_since = inf
+        if self.speaker(near) and (self._alone_since == inf or now - self._alone_since > MEET_S):
             for zone in zones:
                 there = {m.name: m for m in self.members.values() if m.zone == zone}
                 order = in_order(SPEAKS + zone, there)
