--- a/tamarindfold/choice.py
+++ b/tamarindfold/choice.py
@@ -10,10 +10,8 @@
 from math import ceil, gcd, inf
 from random import Random
 from typing import Any
-from zlib import crc32
 
-from tamarindfold.asks import ASK, PARTS, Answer, Question, read_answer
-from tamarindfold.asks import KINDS as ASKING
+from tamarindfold.asks import ASK, KINDS as ASKING, PARTS, Answer, Question, read_answer
 from tamarindfold.copies import KINDS as COPIES
 from tamarindfold.digest import mark_of
 from tamarindfold.health import BLAME, RETRY_MOST, Backend, Pool, Sent
@@ -24,6 +22,7 @@
     Refuse, RequestArrived, RequestClass, RequestWaited, RequestWithdrawn, Send, SetTimer, Settings,
     SettingsChanged, Settled, Tell, TimerFired,
 )
+from tamarindfold.naming import NAME_TTL_MS, counter_name
 from tamarindfold.news import News
 from tamarindfold.newswire import KINDS, low
 from tamarindfold.questions import Questions
@@ -39,7 +38,6 @@
 WHOLE = 0.95  # of the usual time-out: a retry with less of it has begun to run out of its deadline
 NO_SHOW_MS = 2000.0  # a marked retry this late has given up; it would hold its place in the queue for ever
 FORGET_MS = 20_000.0  # a customer unseen for so long is forgotten, or later if its stores take longer to fill
-NAME_TTL_MS = 60_000.0  # the longest life of a counter's name
 DRIFT = 0.5  # of the burst: a count this far from the store is put right by a call of its own
 TOLD = 0.01  # of the burst: what a home is told by itself
 LUMP, CROWDED = 0.08, 0.4  # of the burst: reported at once; calling less freely leaves calls out by chance
@@ -466,17 +464,10 @@
 
     def count(self, customer: Customer, now: float, use: float, drift: float, call: Call | None) -> None:
         """Call the counter: for use (a held try's units among it), or to put the name right by drift."""
-        name, _ = self.name(now, customer)
+        name, _ = counter_name(now, customer.number, customer.plan.name)
         self.counts.setdefault(name, deque()).append((customer, use, drift, call))
         self.actions.append(Count(name, use + drift, NAME_TTL_MS))
 
-    def name(self, now: float, customer: Customer) -> tuple[int, float]:
-        """The customer's name of this minute and its age; customers change theirs at different moments."""
-        turn, age = divmod(now + customer.number * 2654435761 % 2**32 / 2**32 * NAME_TTL_MS, NAME_TTL_MS)
-        # a plan has names of its own: use under one rate, read with another's, would tell a false store
-        plan = crc32(customer.plan.name.encode()) & 0x1FFFFF
-        return plan << 43 | (int(turn) & 0x3FF) << 33 | customer.number, age
-
     def count_answered(self, now: float, event: CountAnswered) -> None:
         """Guards against a slow, full or lost counter: never add twice, ask less, hold what was told."""
         if not (asked := self.counts.get(event.name)):
@@ -494,7 +485,7 @@
         # a call whose connection was lost was most likely never read; one that timed out is in the line
         vain = event.outcome.never_ran or event.outcome is Outcome.RESET
         held = call if call and call.event.request in self.calls else None
-        name, age = self.name(now, customer)
+        name, age = counter_name(now, customer.number, customer.plan.name)
         if not answered or name != event.name:
             if vain:
                 customer.debt += use - (call.event.units if call else 0.0)
--- a/tamarindfold/homes.py
+++ b/tamarindfold/homes.py
@@ -15,7 +15,8 @@
 
 from tamarindfold.asks import Answer, Question, read_question
 from tamarindfold.copies import Copies
-from tamarindfold.word import MARKS, Store
+from tamarindfold.store import Store
+from tamarindfold.word import MARKS
 
 REPEAT_MS = 2000.0  # a question is known for so long: longer than it is repeated
 CROWD, CROWD_MS = 0.4, 1000.0  # of the intake: beyond it those refused are told to stay away; counted over
--- a/tamarindfold/word.py
+++ b/tamarindfold/word.py
@@ -22,6 +22,7 @@
 from random import Random
 
 from tamarindfold.digest import FITTING, MOST_USE, mark_of, read, write
+from tamarindfold.store import Store
 
 DEAF_MS = 10_000.0  # without a digest for so long peers are taken for unreachable; idle ones tell nothing
 INTAKE = 0.8  # of what a gateway takes in a second: the rest is for chance
@@ -32,25 +33,6 @@
 SEEN = 64  # numbers of digests that are remembered of a sender, against one that comes twice
 
 
-class Store:
-    """A customer's shared store as this gateway believes it, in parts of its burst."""
-
-    __slots__ = ("at", "fill", "missing", "sure", "untold")
-
-    def __init__(self, now: float, fill: float, untold: float) -> None:
-        self.missing, self.at, self.fill, self.sure, self.untold = 0.0, now, fill, False, untold
-
-    def level(self, now: float) -> float:
-        """What is there, from 0 to 1 and below nought after true units that were more than guessed."""
-        self.missing, self.at = max(0.0, self.missing - (now - self.at) * self.fill), max(now, self.at)
-        return 1.0 - self.missing
-
-    def take(self, now: float, part: float) -> None:
-        """So much was sent on, or given back; what is beyond the quota takes nothing."""
-        self.level(now)
-        self.missing = max(0.0, min(max(1.0, self.missing), self.missing + part))
-
-
 class Word:
     """What is told and heard by one gateway."""
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -9,6 +9,7 @@
 from tamarindfold.interface import (
     Count, CountAnswered, Outcome, Plan, Refuse, RequestWithdrawn, Send, SetTimer,
 )
+from tamarindfold.naming import counter_name
 
 PLAN = Plan(rate=8, burst=16)
 
@@ -262,7 +263,7 @@
 
 def level_zero(g, count: Count, now: float = START + 3) -> float:
     """The total at which the store is empty."""
-    return PLAN.burst + g.name(now, g.customers[count.name & (2**33 - 1)])[1] / 1000 * PLAN.rate
+    return PLAN.burst + counter_name(now, count.name & (2**33 - 1), PLAN.name)[1] / 1000 * PLAN.rate
 
 
 def test_a_slice_too_thin_for_one_request_asks_and_lets_in_what_the_store_holds() -> None:
@@ -313,7 +314,7 @@
 
 def test_an_answer_of_the_last_name_and_one_to_no_question_do_no_harm() -> None:
     g = gateway(*range(1, 30), **THIN)
-    turn = START + 60_000 - g.name(START, Customer(PLAN, 200, START, 9))[1]
+    turn = START + 60_000 - counter_name(START, 9, PLAN.name)[1]
     count = ask(g, 2, turn - 1, units=4.0)
     assert answer(g, Count(77, 0.0, 0.0), 5.0) == []
     assert only(answer(g, count, 1e6, now=turn + 2), Send)  # it tells nothing of the name of now
@@ -332,7 +333,7 @@
         total += count.amount
         calls += 1
         queue += [(g, c) for c in only(answer(g, count, total), Count)]
-    age = gates[0].name(START + 3, gates[0].customers[9])[1]
+    age = counter_name(START + 3, 9, PLAN.name)[1]
     level = PLAN.burst - total + age / 1000 * PLAN.rate
     assert PLAN.burst - 21 <= level <= PLAN.burst + 1e-6
     assert calls <= 16
