troutdock system: status, members, history and export of the whole gateway

Need: operators see what the core is at without reading logs, and get a configuration back from a folder. Change: GET /system/status at the control plane; four commands.

--- a/hedgerow/calls.py
+++ b/hedgerow/calls.py
@@ -109,11 +109,24 @@
         return Reply(200, found[1]) if found[0] else refusal(404, "no configuration yet")
 
 
+class SystemCalls:
+    """`GET /system/status`: what this registry knows, for operators' tools."""
+
+    def __init__(self, status: Callable[[], dict[str, object]]) -> None:
+        self._status = status
+
+    async def status(self) -> Reply:
+        """All of it."""
+        return Reply(200, msgspec.json.encode(self._status()))
+
+
 class Outside:
     """Which call goes to which handler."""
 
-    def __init__(self, instances: InstanceCalls, configuration: ConfigurationCalls) -> None:
-        self._instances, self._configuration = instances, configuration
+    def __init__(
+        self, instances: InstanceCalls, configuration: ConfigurationCalls, system: SystemCalls
+    ) -> None:
+        self._instances, self._configuration, self._system = instances, configuration, system
 
     async def handle(self, call: Call) -> Reply:
         """Answer one call."""
@@ -133,4 +146,6 @@
             )
         if parts == ["configuration", "describe"]:
             return await self._configuration.describe() if call.method == b"GET" else refusal(405, "GET")
+        if parts == ["system", "status"]:
+            return await self._system.status() if call.method == b"GET" else refusal(405, "GET")
         return refusal(404, "no such call")
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -12,7 +12,7 @@
 from furrow.calls import CallServer
 from furrow.link import Address, Dialer, Link, Listener
 from furrow.messages import Config, Done, Fresh, Hello, Instance, Member, Message, Put, Read, ReadDone
-from hedgerow.calls import ConfigurationCalls, InstanceCalls, Outside
+from hedgerow.calls import ConfigurationCalls, InstanceCalls, Outside, SystemCalls
 from hedgerow.disk import Memory
 from hedgerow.registry import Action, Confirmed, Registry, Tell
 
@@ -40,7 +40,9 @@
         self._last = 0
         self._listener = Listener(lambda: Link(self._hello, self._heard, self._up, self._down))
         instances = InstanceCalls(self, self._known)
-        self._outside = CallServer(Outside(instances, ConfigurationCalls(self)).handle)
+        self._outside = CallServer(
+            Outside(instances, ConfigurationCalls(self), SystemCalls(self._status)).handle
+        )
         self._control_port = 0
         self._timer: asyncio.TimerHandle | None = None
         self._memory = Memory(boot.data)
@@ -173,6 +175,11 @@
         ip = self.registry.target(instance.zone, self._boot.zone)
         return f"{ip}:{self._control_port}" if ip else ""
 
+    def _status(self) -> dict[str, object]:
+        primary = self._primary()
+        name = primary.peer.name if primary is not None and primary.peer is not None else ""
+        return {"node": self._boot.name, "primary": name, **self.registry.status()}
+
     def _primary(self) -> Link | None:
         return next(reversed(self._fresh), None)
 
--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -196,6 +196,25 @@
         self._told_members = found
         return [Tell(None, Members(changed, gone))] if changed or gone else []
 
+    def status(self) -> dict[str, object]:
+        """What is known here, for operators."""
+        services: dict[str, dict[str, int]] = {}
+        for entry in self.book.entries.values():
+            counts = services.setdefault(
+                entry.service, {"available": 0, "draining": 0, "gone": 0, "silent": 0}
+            )
+            counts[("available", "draining", "gone")[entry.state]] += 1
+            counts["silent"] += entry.silent
+        return {
+            "version": self.config.version if self.config is not None else 0,
+            "registries": {o.ip: o.link is not None for o in self.others.values()},
+            "members": [
+                {"name": m.name, "ip": m.ip, "port": m.port, "zone": m.zone}
+                for m in self._told_members.values()
+            ],
+            "services": services,
+        }
+
     # ---- the configuration
 
     @property
--- /dev/null
+++ b/troutdock/cli/system.py
@@ -0,0 +1,96 @@
+"""troutdock system: what the whole gateway is at, by a running registry or a store's folder at rest."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+import typer
+
+from troutdock.cli.common import call, plain_errors
+
+system = typer.Typer(no_args_is_help=True, help="The whole gateway: registries, stores, ingresses.")
+_AT = typer.Option(..., "--at", help="A registry's control-plane address, host:port.")
+_DATA = typer.Option(..., "--data", help="A store's data folder; nothing in it is changed.")
+_JSON = typer.Option(False, "--json", help="As JSON.")
+_FILE = "rootstock.db"
+
+
+def _told(at: str) -> dict[str, Any]:
+    found = json.loads(call(at, "GET", "/system/status"))
+    if not isinstance(found, dict):
+        raise ValueError(f"{at}: no registry of this system")
+    return found
+
+
+@system.command()
+def status(at: str = _AT, as_json: bool = _JSON) -> None:
+    """What one registry knows: the primary, the version in force, the others, backends by service."""
+    with plain_errors():
+        found = _told(at)
+    if as_json:
+        typer.echo(json.dumps(found))
+        return
+    typer.echo(f"registry   {found['node']}")
+    typer.echo(f"primary    {found['primary'] or 'none is known: no change is taken now'}")
+    typer.echo(f"in force   r{found['version']}" if found["version"] else "in force   nothing yet")
+    for ip, linked in sorted(found["registries"].items()):
+        typer.echo(f"registry   {ip} {'linked' if linked else 'not linked'}")
+    for service, counts in sorted(found["services"].items()):
+        typer.echo(f"service    {service}: " + ", ".join(f"{n} {state}" for state, n in counts.items() if n))
+
+
+@system.command()
+def members(at: str = _AT, as_json: bool = _JSON) -> None:
+    """The ingresses that are linked to any registry."""
+    with plain_errors():
+        found = _told(at)["members"]
+    if as_json:
+        typer.echo(json.dumps(found))
+        return
+    for member in sorted(found, key=lambda m: (m["zone"], m["name"])):
+        typer.echo(f"{member['zone']:<16} {member['name']:<24} {member['ip']}:{member['port']}")
+
+
+def _base(data: Path) -> sqlite3.Connection:
+    path = data / _FILE
+    if not path.exists():
+        raise ValueError(f"{path}: no store lies here")
+    return sqlite3.connect(f"file:{path}?mode=ro", uri=True)
+
+
+@system.command()
+def history(data: Path = _DATA, as_json: bool = _JSON) -> None:
+    """The versions that a store has kept, the newest last, and the epoch it has promised."""
+    with plain_errors(sqlite3.Error), closing(_base(data)) as base:
+        row = base.execute("SELECT promised, record, version FROM state").fetchone()
+        rows = base.execute(
+            "SELECT version, epoch, length(body) FROM configurations ORDER BY version").fetchall()
+    promised, record, newest = row or (0, None, 0)
+    if as_json:
+        typer.echo(json.dumps({"promised": promised, "record": json.loads(record) if record else None,
+                               "newest": newest, "versions": [list(r) for r in rows]}))
+        return
+    typer.echo(f"promised   epoch {promised}")
+    if record:
+        epoch, primary, backup = json.loads(record)
+        typer.echo(f"record     epoch {epoch}: primary {primary}, backup {backup or 'none'}")
+    for version, epoch, size in rows:
+        typer.echo(f"r{version:<9} {size} bytes, under epoch {epoch}" + (", the newest here" if version == newest else ""))
+
+
+@system.command()
+def export(
+    data: Path = _DATA,
+    version: int = typer.Option(0, "--version", help="Which one; the newest where it is left out."),
+) -> None:
+    """A configuration as its operator sent it, to standard output."""
+    with plain_errors(sqlite3.Error), closing(_base(data)) as base:
+        wanted = version or (base.execute("SELECT version FROM state").fetchone() or (0,))[0]
+        row = base.execute("SELECT body FROM configurations WHERE version = ?", (wanted,)).fetchone()
+        if row is None:
+            raise ValueError(f"{data}: r{wanted} is not kept here" if wanted else f"{data}: no configuration yet")
+    typer.echo(bytes(row[0]).decode())
