--- a/espalier/daemon.py
+++ b/espalier/daemon.py
@@ -252,6 +252,7 @@
             self._pool_of(service)
         self.engine.reconfigure(table.settings)
         self.reader.table = table
+        self.server.max_head = found.limits.header_bytes
         self.server.head_s = found.limits.header_ms / 1000
         self.server.idle_s = found.limits.idle_ms / 1000
         log.info("Configuration r{}: {} routes.", version, len(found.routes))
--- a/troutdock/cli/system.py
+++ b/troutdock/cli/system.py
@@ -79,7 +79,8 @@
         epoch, primary, backup = json.loads(record)
         typer.echo(f"record     epoch {epoch}: primary {primary}, backup {backup or 'none'}")
     for version, epoch, size in rows:
-        typer.echo(f"r{version:<9} {size} bytes, under epoch {epoch}" + (", the newest here" if version == newest else ""))
+        mark = ", the newest here" if version == newest else ""
+        typer.echo(f"r{version:<9} {size} bytes, under epoch {epoch}{mark}")
 
 
 @system.command()
@@ -92,5 +93,6 @@
         wanted = version or (base.execute("SELECT version FROM state").fetchone() or (0,))[0]
         row = base.execute("SELECT body FROM configurations WHERE version = ?", (wanted,)).fetchone()
         if row is None:
-            raise ValueError(f"{data}: r{wanted} is not kept here" if wanted else f"{data}: no configuration yet")
+            why = f"r{wanted} is not kept here" if wanted else "no configuration yet"
+            raise ValueError(f"{data}: {why}")
     typer.echo(bytes(row[0]).decode())
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -36,8 +36,6 @@
 from functools import partial
 from typing import Any, cast
 
-from tamarindfold import snapshot
-from tamarindfold.choice import Gateway
 from tamarindfold.interface import (
     Action, Actions, AnswerBegan, AttemptEnded, BackendId, Cancel, Count, CountAnswered, Effect, Event, Fail,
     FleetUpdate, Group, ListWatched, Log, Outcome, PeerMessage, PlanAssigned, Refuse, RequestArrived,
@@ -109,7 +107,10 @@
         self.relays_failures = False  # a backend's own failure is passed on, where nothing better comes
         self.tally = Tally()
         self.ready = False  # until there is a backend to send to
-        self._gateway: Any = gateway if gateway is not None else Gateway(settings, seed)  # a Decides
+        if gateway is None:
+            from tamarindfold.choice import Gateway
+            gateway = Gateway(settings, seed)
+        self._gateway: Any = gateway  # a Decides; what is handed over is a choice.Gateway's
         self._most_units = settings.most_units
         self._calls: dict[int, Call] = {}
         self._open_ids: set[bytes] = set()
@@ -195,11 +196,13 @@
 
         tell: what comes of the attempts that are out, each in its turn.
         """
+        from tamarindfold import snapshot
         self._tell = tell
         return snapshot.take(self._gateway)
 
     def take_back(self, untouched: Any = None) -> None:
         """The other process has died: go on. untouched: the state, where it is known that nobody used it."""
+        from tamarindfold import snapshot
         snapshot.resume(self._gateway, self.clock.now(), untouched)
 
     def take_over(self, state: Any) -> list[str]:
@@ -207,6 +210,7 @@
 
         ValueError if it is none, and nothing is taken from it.
         """
+        from tamarindfold import snapshot
         return snapshot.restore(self._gateway, state)
 
     def settle(self, settled: Settled) -> None:
@@ -215,6 +219,7 @@
 
     def predecessor_ended(self) -> None:
         """What the predecessor has not told is not waited for."""
+        from tamarindfold import snapshot
         snapshot.forget(self._gateway)
 
     def reconfigure(self, settings: Settings) -> None:
--- a/troutdock/http/connection.py
+++ b/troutdock/http/connection.py
@@ -17,7 +17,7 @@
 from troutdock.http.age import has_left, has_unread
 from troutdock.http.bodies import SMALL, Pace
 from troutdock.http.exchange import Exchange
-from troutdock.http.response import MAX_BODY, MAX_HEAD
+from troutdock.http.response import MAX_BODY
 
 log = logging.getLogger("troutdock")
 
@@ -115,9 +115,9 @@
         completed = self._completed
         try:
             self._parser.feed_data(data)
-            if self._in_head and self._received > MAX_HEAD:
+            if self._in_head and self._received > self.server.max_head:
                 raise BadRequest(431, "the head is too long")
-            if self._received > MAX_HEAD + MAX_FRAMING + 2 * self._size:
+            if self._received > self.server.max_head + MAX_FRAMING + 2 * self._size:
                 raise BadRequest(413, "the framing is too long")
         except BadRequest as error:
             self._reject(error.status)
--- a/troutdock/http/listener.py
+++ b/troutdock/http/listener.py
@@ -34,6 +34,7 @@
 from troutdock.http.connection import ClientConnection
 from troutdock.http.places import Line
 from troutdock.http.request import Headers, HttpRequest
+from troutdock.http.response import MAX_HEAD
 from troutdock.http.status import passed_on
 from troutdock.management.availability import Availability, State
 from troutdock.overload.damping import EVERY, Damping
@@ -104,6 +105,7 @@
         self.passes = passed_on  # which headers of a backend's answer a client gets
         # where clients ask whether this process wants them; None: not at their own address
         self.health_path: bytes | None = b"/healthz"
+        self.max_head = MAX_HEAD  # bytes of a request line with its headers
         self.head_s, self.idle_s = HEAD_S, IDLE_S  # for a head to come; until an idle connection is closed
         # how long SIGTERM leaves the door open: at least, and where clients still come
         self.drain_accept_s, self.drain_most_s = DRAIN_ACCEPT_S, DRAIN_MOST_S
