--- a/espalier/daemon.py
+++ b/espalier/daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 from collections.abc import Mapping
+from math import inf
 from random import Random
 
 import logbook
@@ -47,6 +48,7 @@
     OthersLoad,
     OthersUse,
     Plan,
+    PlanAssigned,
     RequestClass,
     Settings,
     Suspected,
@@ -67,7 +69,7 @@
 IDLE_S = 10.0  # until a backend closes a connection that stands idle
 SAMPLE_S = 0.05  # between two samples of this process's own lateness: each is a wake-up
 SWEEP_S = 0.25
-LOST_S = 60.0  # without an answer or a word for so long, a backend is forgotten
+FORGET_S = 30.0  # between two looks for what has long been gone
 SETTINGS_S = 2.0  # between two looks at the settings file, which may change without a signal
 DRAIN_MOST_S = 2.6  # after SIGTERM clients still come: two questions for readiness have to be missed
 DOOR_S = 0.9  # from the start until clients are told that there is no configuration yet
@@ -153,6 +155,7 @@
         self.book = Book()
         self._numbers: dict[str, int] = {}  # of instances
         self._instance_of: dict[int, bytes] = {}
+        self._last_instance = 0
         self._decides.instance_of = self._instance_of
         self._pools: dict[str, int] = {}  # of services
         self._tenants: dict[str, int] = {}  # numbers
@@ -187,6 +190,7 @@
         self.feed.start()
         self._sweep()
         self._sample()
+        self._forget()
         self._look_at_settings()
         log.info("Serves at {}:{}.", *address)
         return address
@@ -252,6 +256,8 @@
             self._pool_of(service)
         self.engine.reconfigure(table.settings)
         self.reader.table = table
+        for plan, tenant in enumerate(found.tenants or ()):  # also those that have asked nothing here yet
+            self._tell(PlanAssigned(self._tenants[tenant.name], plan + 1))
         self.server.max_head = found.limits.header_bytes
         self.server.head_s = found.limits.header_ms / 1000
         self.server.idle_s = found.limits.idle_ms / 1000
@@ -271,7 +277,8 @@
             if number is None:
                 if entry.state == GONE:
                     continue
-                number = self._numbers[entry.id] = len(self._instance_of) + 1
+                self._last_instance += 1
+                number = self._numbers[entry.id] = self._last_instance
                 self._instance_of[number] = entry.id.encode()
             try:
                 address = parse_address(entry.address)
@@ -290,6 +297,8 @@
             )
             if entry.state == GONE:
                 del self._numbers[entry.id]
+                # what is under way there still names it
+                self._loop.call_later(FORGET_S, self._instance_of.pop, number, None)
 
     # ---- other ingresses
 
@@ -327,6 +336,12 @@
         self.transport.sweep()
         self._loop.call_later(SWEEP_S, self._sweep)
 
+    def _forget(self) -> None:
+        """What has long been gone; what is silent is the registry's to give up."""
+        self.book.forget(self._loop.time(), inf)
+        self.book.changed.clear()
+        self._loop.call_later(FORGET_S, self._forget)
+
     def _sample(self) -> None:
         self.lag.sample()
         self._loop.call_later(SAMPLE_S, self._sample)
--- a/furrow/calls.py
+++ b/furrow/calls.py
@@ -21,6 +21,7 @@
 
 CALLERS = 512  # connections at once; the one that has been here longest without a call under way makes room
 MAX_HEAD = 16 * 1024  # bytes
+MAX_HELD = 96 * 1024 * 1024  # bytes of all bodies together: a process of a core machine has some 300 MB
 MAX_BODY = 64 * 1024 * 1024 + 4096  # bytes: the longest configuration
 IDLE_S = 30.0  # a connection between calls is closed after this
 _WORDS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -51,6 +52,7 @@
     def __init__(self, handler: Handler, max_body: int = MAX_BODY) -> None:
         self.handler, self.max_body = handler, max_body
         self.callers: dict[_Caller, None] = {}
+        self.held = 0  # bytes of bodies that have come and are not answered
         self._server: asyncio.Server | None = None
         self._sweep: asyncio.TimerHandle | None = None
 
@@ -96,6 +98,7 @@
         self._waiting: deque[tuple[Call, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._quiet_since = asyncio.get_running_loop().time()
+        self._held = 0  # bytes of bodies, of what the server holds
         self._clear()
 
     def _clear(self) -> None:
@@ -111,8 +114,13 @@
         self._transport = cast(asyncio.Transport, transport)
         self._server.admit(self)
 
+    def _hold(self, count: int) -> None:
+        self._held += count
+        self._server.held += count
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.callers.pop(self, None)
+        self._hold(-self._held)
         self._parser = None  # it holds this caller
 
     def sweep(self, now: float) -> None:
@@ -135,7 +143,9 @@
             if self._head - self._size > MAX_HEAD + self._size:
                 self._end(431)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._end(413 if isinstance(error.__context__, OverflowError) else 400)
+            cause = error.__context__
+            full = isinstance(cause, BlockingIOError)
+            self._end(503 if full else 413 if isinstance(cause, OverflowError) else 400)
 
     def _end(self, status: int) -> None:
         self._write(Reply(status), False)
@@ -153,6 +163,9 @@
         self._size += len(data)
         if self._size > self._server.max_body:
             raise OverflowError
+        if self._server.held + len(data) > MAX_HELD:
+            raise BlockingIOError
+        self._hold(len(data))
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -171,6 +184,7 @@
                 except Exception:  # guards the process: only this call fails
                     log.exception("Call failed: {}.", call.path.decode(errors="replace"))
                     reply = Reply(500)
+                self._hold(-min(self._held, len(call.body)))
                 self._write(reply, keeps)
                 if not keeps:
                     self._transport.close()
--- a/hedgerow/disk.py
+++ b/hedgerow/disk.py
@@ -13,10 +13,13 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+import logbook
 import msgspec
 
 from furrow.messages import GONE, Instance
 
+log = logbook.Logger("hedgerow")
+
 FILE = "hedgerow.db"
 SCHEMA = 1
 
@@ -71,7 +74,8 @@
                         (entry.id, msgspec.json.encode(entry)),
                     )
             base.execute("COMMIT")
-        except sqlite3.Error:
+        except sqlite3.Error as error:
+            log.warning("Disk: backends are not remembered: {}.", error)
             self.close()
             return False
         return True
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -482,7 +482,7 @@
         body = bytes(copy.body) if copy.version else b""
         if copy.whole:
             # a blank machine may hold a copy: it promises nothing by that
-            if copy.epoch < kept.promised or self._leading(copy.epoch):
+            if copy.epoch < max(kept.promised, kept.given) or self._leading(copy.epoch):
                 self._send(sender, Copied(copy.epoch, copy.version, False, kept.promised))
                 return
             if self.stage is not Stage.IDLE:
--- a/tamarindfold/fabric.py
+++ b/tamarindfold/fabric.py
@@ -36,6 +36,7 @@
     OthersUse,
     Outcome,
     Plan,
+    PlanAssigned,
     Refuse,
     RequestArrived,
     RequestClass,
@@ -141,6 +142,7 @@
             OthersUse: self._others_use,
             Level: self._level,
             Suspected: self._suspected,
+            PlanAssigned: self._assigned,
         }
 
     def handle(self, now: float, event: Event) -> Actions:
@@ -152,6 +154,10 @@
 
     # ---- the quota
 
+    def _assigned(self, now: float, event: PlanAssigned) -> None:
+        """A tenant and its terms: what others let in counts before it has asked anything here."""
+        self._tenant(now, event.customer, self.settings.plans[event.plan])
+
     def _tenant(self, now: float, number: int, plan: Plan) -> Tenant:
         even = 1 / max(1, self.company.ingresses)
         known = self.tenants.get(number)
--- a/tests/system/test_fabric.py
+++ b/tests/system/test_fabric.py
@@ -7,8 +7,8 @@
 
 from tamarindfold.fabric import Fabric
 from tamarindfold.interface import (
-    AttemptEnded, BackendEntry, BackendState, Company, Effect, Fail, FleetUpdate, ListKind, OthersLoad,
-    Outcome, Refuse, Send, SetTimer, Suspected, TimerFired,
+    AttemptEnded, BackendEntry, BackendState, Company, Effect, Fail, FleetUpdate, ListKind, OthersLoad, OthersUse,
+    Outcome, PlanAssigned, Refuse, Send, SetTimer, Suspected, TimerFired,
 )
 
 NEVER_RAN = [Outcome.FULL, Outcome.MOOT, Outcome.CONNECT_FAILED]
@@ -191,3 +191,10 @@
         assert of(Send, f.handle(3.0 + n, arrival(n)))[0].backend != send.backend
     f.handle(20.0, Suspected(send.backend, False))
     assert send.backend in f.pools[0].ready
+
+
+def test_what_others_let_in_counts_before_a_tenant_has_asked_here() -> None:
+    f = fabric(rate=10.0, burst=10.0)
+    f.handle(0.0, PlanAssigned(1, 1))
+    f.handle(1.0, OthersUse({1: 14.0}))
+    assert of(Refuse, f.handle(2.0, arrival(1)))
--- a/tests/system/test_quotas_in_company.py
+++ b/tests/system/test_quotas_in_company.py
@@ -80,3 +80,26 @@
         ingress.exchange.company = lambda now: (1, 1)  # type: ignore[method-assign]
     press(t, 6000, 300)
     assert most_in(t.admitted, WINDOW_S * 1000) > ALLOWED
+
+
+def test_whom_an_ingress_dials() -> None:
+    """In the zone the lower address; other zones by the speaker, once its own zone is linked."""
+    from espalier.shares import Exchange
+    from furrow.messages import Member
+    e = Exchange("a-1", "10.0.0.2", "a", 1)
+    e.listed(0.0, [Member("a-0", "10.0.0.1", 1, "a", 1), Member("a-2", "10.0.0.3", 1, "a", 1),
+                   Member("b-0", "10.0.1.1", 1, "b", 1), Member("b-1", "10.0.1.2", 1, "b", 1)], (), True)
+    near = [("a-0", "a"), ("a-2", "a")]
+    assert [m.name for m in e.wanted(0.0, [], ())] == ["a-2"]  # who is unmet may be the speaker
+    speaks = e.speaker(["a-0", "a-2"])
+    away = [m.name for m in e.wanted(0.1, near, ()) if m.zone == "b"]
+    assert len(away) == speaks
+    f = Exchange("a-1", "10.0.0.2", "a", 1)
+    f.listed(0.0, [Member("b-0", "10.0.1.1", 1, "b", 1), Member("b-1", "10.0.1.2", 1, "b", 1)], (), True)
+    (first,) = f.wanted(0.0, [], ())
+    (other,) = f.wanted(0.1, [], [first.name])  # one that can't be reached makes room for the next
+    assert {first.name, other.name} == {"b-0", "b-1"}
+    # who has left the list may merely be cut off from the registry: a link that is up stays, another goes
+    f.listed(1.0, [], [first.name], False)
+    assert f.keeps(first.name, first.ip, {}, True) and not f.keeps(first.name, first.ip, {}, False)
+    assert not f.keeps(other.name, other.ip, {}, True)
--- a/tests/system/test_three_programs.py
+++ b/tests/system/test_three_programs.py
@@ -148,3 +148,20 @@
         assert (await call(w.http(w.edge[0]), "GET", "/read/", b"", *KEY, "Attempt-Id: d1"))[0] == 200
 
     play(tmp_path, story)
+
+
+def test_bodies_beyond_what_a_registry_may_hold_are_turned_away_and_it_serves_on(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("furrow.calls.MAX_HELD", 100_000)
+
+    async def story(w: Whole) -> None:
+        control = w.control(w.core[0])
+        _, writer = await asyncio.open_connection(*control)
+        writer.write(b"POST /configuration/replace HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" + b"x" * 80_000)
+        server = w.registries[w.core[0]]._outside
+        await until(lambda: server.held == 80_000)
+        assert (await call(control, "POST", "/configuration/replace", b"y" * 50_000))[0] == 503
+        writer.close()
+        await until(lambda: server.held == 0)
+        assert await w.put(CONFIGURATION, w.core[0]) == 200
+
+    play(tmp_path, story)
