A primary that ends in order tells so, and its backup leads at once

Need: at SIGTERM the store was without a primary for 1.2 s, as its backup waited for silence. Change: a last status says that the process leaves; it counts as unheard from then on. Schedules end processes in order too.

--- a/furrow/messages.py
+++ b/furrow/messages.py
@@ -166,6 +166,7 @@
     blank: bool
     holds: bool
     voters: list[str]
+    leaving: bool = False  # its process ends: it is not heard any more
 
 
 class Prepare(Struct, tag="prepare", tag_field="t"):
--- a/rootstock/__main__.py
+++ b/rootstock/__main__.py
@@ -20,6 +20,7 @@
     store = Store(boot, life_of_now())
     await store.start((boot.ip, boot.port(PORT)))
     await stop.wait()
+    await store.leave()
     store.close()
     return 0
 
--- a/rootstock/daemon.py
+++ b/rootstock/daemon.py
@@ -34,6 +34,7 @@
 ROLE = "rootstock"
 PORT = 1  # of the system's own ports
 TICK_S = 0.05
+SAID_S = 0.05  # for the last word to leave the process
 REOPEN_S = 0.5  # between two tries of a disk that refuses
 _OF_REPLICAS = (Status, Prepare, Promise, Copy, Copied, Accept, Accepted, Prove, Proven)
 
@@ -177,6 +178,15 @@
                 case Log(text):
                     log.info("{}", text)
 
+    async def leave(self) -> None:
+        """Tell the others that this copy takes no part any more; all is said when this returns."""
+        if self._replica is not None:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._carry_out(self._replica.leave(asyncio.get_running_loop().time()))
+            self._replica = None
+            await asyncio.sleep(SAID_S)
+
     def close(self) -> None:
         """End in order."""
         if self._timer is not None:
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -265,6 +265,16 @@
             self._ask_again(now)
         return self.take()
 
+    def leave(self, now: float) -> list[Action]:
+        """The process ends in order: the backup need not wait for its silence to lead."""
+        if self.stage is not Stage.IDLE:
+            self._step_down(now, "this process ends")
+        self._rest_until = inf
+        told = msgspec.structs.replace(self.status, leaving=True)
+        for peer in self.peers:
+            self._send(peer, told)
+        return self.take()
+
     @property
     def status(self) -> Status:
         """What this replica is."""
@@ -314,6 +324,9 @@
 
     def _status(self, now: float, sender: str, status: Status) -> None:
         peer = self.peers.setdefault(sender, _Peer())
+        if status.leaving:
+            peer.heard_at = -inf
+            return
         if status.active or peer.led_at == -inf:
             peer.led_at = now
         peer.status, peer.heard_at = status, now
--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -77,6 +77,13 @@
     def kill(self, ip: str) -> None:
         self.machines[ip].replica = None
 
+    def leave(self, ip: str) -> None:
+        """Its process ends in order."""
+        machine = self.machines[ip]
+        if machine.replica is not None:
+            self._do(machine, machine.replica.leave(self.now))
+            machine.replica = None
+
     def wipe(self, ip: str) -> None:
         self.kill(ip)
         self.machines[ip].disk = None
--- a/tests/system/test_store_schedules.py
+++ b/tests/system/test_store_schedules.py
@@ -30,10 +30,12 @@
                 cluster.run(random.choice([0.001, 0.004, 0.008, 0.015]))
         if what >= 0.3 and not down and cluster.now > healed_at:
             down = random.choice([cluster.primary or names[0], random.choice(names)])
-            how = random.choice(["kill", "wipe", "cut", "out", "in", "hang", "back"])
+            how = random.choice(["kill", "wipe", "cut", "out", "in", "hang", "back", "leave"])
             others = [ip for ip in names if ip != down]
             if how == "kill":
                 cluster.kill(down)
+            elif how == "leave":
+                cluster.leave(down)
             elif how == "wipe":
                 cluster.wipe(down)
             elif how == "back":  # killed, and there again at once
@@ -124,6 +126,17 @@
     settled(deposed(seed))
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_primary_that_ends_in_order_leaves_no_gap(seed: int) -> None:
+    cluster = Cluster(seed)
+    cluster.run(4.0)
+    old = cluster.primary
+    assert old is not None
+    cluster.leave(old)
+    cluster.run(0.3)
+    assert cluster.primary not in (None, old)
+
+
 def first_violation(seeds: range) -> str:
     for seed in seeds:
         try:
