Wire: standard names for writes, replication and probes; lives and digests on the way

Here are only the fields, with defaults, and the renames (Put, Done, Copy, Prove to Write, WriteAck, Replicate, Probe); the store knows a registry by address and life, so that a new life is another caller.

--- a/furrow/messages.py
+++ b/furrow/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 import msgspec
 from msgspec import Struct
 
@@ -13,6 +15,11 @@
 READY, DRAINING, GONE = 0, 1, 2  # states of an instance; they rise only
 
 
+def digest_of(body: bytes | msgspec.Raw) -> str:
+    """What tells two configurations of one number apart: 96 bits of the operator's own bytes, in hex."""
+    return blake2b(bytes(body), digest_size=12).hexdigest()
+
+
 class MessageError(ValueError):
     """The payload is none of the messages that both sides know."""
 
@@ -50,16 +57,26 @@
 
 
 class Instances(Struct, tag="inst", tag_field="t"):
-    """What is known of backends. number: to be confirmed with Heard, where it is not 0."""
+    """What is known of backends.
+
+    number: to be confirmed with InstancesAck, where it is not 0; life: of the process that asks for it.
+    """
 
     entries: list[Instance]
     number: int = 0
+    life: int = 0
 
 
-class Heard(Struct, tag="heard", tag_field="t"):
-    """The Instances of this number are known here now."""
+class InstancesAck(Struct, tag="instances_ack", tag_field="t"):
+    """The Instances of this number are known here now, and on this disk.
+
+    life: of who asked, as Instances told it. contact: the sender is in touch with a primary that reaches a
+    majority, so that its word counts.
+    """
 
     number: int
+    life: int = 0
+    contact: bool = False
 
 
 class Beats(Struct, tag="beats", tag_field="t"):
@@ -103,10 +120,11 @@
 
 
 class Config(Struct, tag="config", tag_field="t"):
-    """A configuration that is in force. body: the operator's own bytes, JSON."""
+    """A configuration that is in force. body: the operator's own bytes, JSON; digest: digest_of(body)."""
 
     version: int
     body: msgspec.Raw
+    digest: str = ""
 
 
 class Fresh(Struct, tag="fresh", tag_field="t"):
@@ -114,37 +132,49 @@
 
     fresh: bool
     version: int
+    digest: str = ""
 
 
-class Put(Struct, tag="put", tag_field="t"):
-    """Registry to primary: keep this. number: of the call, for Done."""
+class Write(Struct, tag="write", tag_field="t"):
+    """Registry to primary: keep this. number, life: of the call and its caller, for WriteAck."""
 
     number: int
     version: int
     body: msgspec.Raw
+    life: int = 0
+    digest: str = ""
 
 
-class Done(Struct, tag="done", tag_field="t"):
-    """It is kept twice (or a version as high is); else why it is not."""
+class WriteAck(Struct, tag="write_ack", tag_field="t"):
+    """It is kept on every copy, or a higher version is; else why it is not.
+
+    life: the caller's. conflict: its number is taken by another body, whose digest is told: it will never be
+    kept, and asking again is of no use.
+    """
 
     number: int
     ok: bool
     why: str = ""
+    life: int = 0
+    conflict: bool = False
+    digest: str = ""
 
 
 class Read(Struct, tag="read", tag_field="t"):
-    """Registry to primary: which configuration is the newest, proven now?"""
+    """Registry to primary: which configuration is the newest, proven now? life: the caller's, for ReadAck."""
 
     number: int
+    life: int = 0
 
 
-class ReadDone(Struct, tag="readdone", tag_field="t"):
+class ReadAck(Struct, tag="read_ack", tag_field="t"):
     """version 0: there is none yet; below 0: not to be told here, and why."""
 
     number: int
     version: int
     body: msgspec.Raw = NOTHING
     why: str = ""
+    life: int = 0
 
 
 # ---- replicas of the store among themselves
@@ -196,7 +226,7 @@
     record: Record | None
 
 
-class Copy(Struct, tag="copy", tag_field="t"):
+class Replicate(Struct, tag="replicate", tag_field="t"):
     """Primary to backup: keep this configuration under this epoch. version 0: there is none yet.
 
     whole: it takes the place of whatever is there (a snapshot), and the receiver is the backup from now on.
@@ -208,7 +238,7 @@
     whole: bool
 
 
-class Copied(Struct, tag="copied", tag_field="t"):
+class ReplicateAck(Struct, tag="replicate_ack", tag_field="t"):
     """It is on the backup's disk; ok false: promised tells why not."""
 
     epoch: int
@@ -231,15 +261,15 @@
     promised: int
 
 
-class Prove(Struct, tag="prove", tag_field="t"):
+class Probe(Struct, tag="probe", tag_field="t"):
     """Primary to voters: is this epoch still the newest? number: of the question."""
 
     epoch: int
     number: int
 
 
-class Proven(Struct, tag="proven", tag_field="t"):
-    """The answer to Prove."""
+class ProbeAck(Struct, tag="probe_ack", tag_field="t"):
+    """The answer to Probe."""
 
     epoch: int
     number: int
@@ -285,26 +315,26 @@
     Hello
     | Ping
     | Instances
-    | Heard
+    | InstancesAck
     | Beats
     | Silence
     | Members
     | Registries
     | Config
     | Fresh
-    | Put
-    | Done
+    | Write
+    | WriteAck
     | Read
-    | ReadDone
+    | ReadAck
     | Status
     | Prepare
     | Promise
-    | Copy
-    | Copied
+    | Replicate
+    | ReplicateAck
     | Accept
     | Accepted
-    | Prove
-    | Proven
+    | Probe
+    | ProbeAck
     | Shares
 )
 
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -12,7 +12,7 @@
 from almanac.configuration import longest
 from furrow.calls import CallServer
 from furrow.link import Address, Dialer, Link, Listener
-from furrow.messages import Config, Done, Fresh, Hello, Instance, Member, Message, Put, Read, ReadDone
+from furrow.messages import Config, WriteAck, Fresh, Hello, Instance, Member, Message, Write, Read, ReadAck
 from hedgerow.calls import ConfigurationCalls, InstanceCalls, Outside, SystemCalls
 from hedgerow.disk import Memory
 from hedgerow.registry import Action, Confirmed, Registry, Tell
@@ -37,7 +37,7 @@
         self._registries: dict[str, Dialer] = {}
         self._stores: dict[str, Dialer] = {}
         self._fresh: dict[Link, int] = {}  # links to primaries, and the version each has told
-        self._calls: dict[int, asyncio.Future[Done | ReadDone]] = {}
+        self._calls: dict[int, asyncio.Future[WriteAck | ReadAck]] = {}
         self._confirms: dict[int, asyncio.Future[bool]] = {}
         self._last = 0
         self._listener = Listener(lambda: Link(self._hello, self._heard, self._up, self._down))
@@ -117,7 +117,7 @@
                 self._store_down(link)
             case Config():
                 self._carry_out(self.registry.take_config(message))
-            case Done(number) | ReadDone(number):
+            case WriteAck(number) | ReadAck(number):
                 if (waiting := self._calls.pop(number, None)) is not None and not waiting.done():
                     waiting.set_result(message)
             case _:
@@ -185,14 +185,14 @@
     def _primary(self) -> Link | None:
         return next(reversed(self._fresh), None)
 
-    async def _ask(self, message: Put | Read) -> Done | ReadDone | None:
+    async def _ask(self, message: Write | Read) -> WriteAck | ReadAck | None:
         link = self._primary()
         if link is None or not link.send(message):
             return None
         waiting = self._calls[message.number] = self._loop.create_future()
         try:
             async with asyncio.timeout(CALL_S):
-                answer: Done | ReadDone = await waiting
+                answer: WriteAck | ReadAck = await waiting
                 return answer
         except TimeoutError:
             return None
@@ -201,19 +201,19 @@
 
     async def put(self, version: int, body: bytes) -> str | None:
         self._last += 1
-        answer = await self._ask(Put(self._last, version, msgspec.Raw(body)))
-        if isinstance(answer, Done):
-            log.info("Put r{}: {}.", version, "kept" if answer.ok else answer.why)
+        answer = await self._ask(Write(self._last, version, msgspec.Raw(body)))
+        if isinstance(answer, WriteAck):
+            log.info("Write r{}: {}.", version, "kept" if answer.ok else answer.why)
             return None if answer.ok else answer.why
-        log.warning("Put r{}: no answer of the store.", version)
+        log.warning("Write r{}: no answer of the store.", version)
         return "the store does not answer"
 
     async def newest(self) -> tuple[int, bytes] | str:
         self._last += 1
         answer = await self._ask(Read(self._last))
-        if isinstance(answer, ReadDone) and answer.version >= 0:
+        if isinstance(answer, ReadAck) and answer.version >= 0:
             return answer.version, bytes(answer.body)
-        return answer.why if isinstance(answer, ReadDone) else "the store does not answer"
+        return answer.why if isinstance(answer, ReadAck) else "the store does not answer"
 
     def close(self) -> None:
         """End in order."""
--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -22,7 +22,7 @@
     Beats,
     Config,
     Fresh,
-    Heard,
+    InstancesAck,
     Instance,
     Instances,
     Member,
@@ -252,11 +252,11 @@
         match message:
             case Instances(entries, number):
                 risen = self.book.hear(now, entries)
-                actions: list[Action] = [Tell(link, Heard(number))] if number else []
+                actions: list[Action] = [Tell(link, InstancesAck(number))] if number else []
                 if risen:
                     actions += self._flood([e.told(now) for e in risen], link)
                 return actions
-            case Heard(number):
+            case InstancesAck(number):
                 return [Confirmed(number, True)] if self._unconfirmed.pop(number, None) is not None else []
             case Beats(ids):
                 return self._back(ids, now)
--- a/rootstock/daemon.py
+++ b/rootstock/daemon.py
@@ -15,16 +15,16 @@
     Accept,
     Accepted,
     Config,
-    Copied,
-    Copy,
+    ReplicateAck,
+    Replicate,
     Fresh,
     Hello,
     Message,
     Prepare,
     Promise,
-    Prove,
-    Proven,
-    Put,
+    Probe,
+    ProbeAck,
+    Write,
     Read,
     Status,
 )
@@ -39,7 +39,12 @@
 TICK_S = 0.05
 SAID_S = 0.05  # for the last word to leave the process
 REOPEN_S = 0.5  # between two tries of a disk that refuses
-_OF_REPLICAS = (Status, Prepare, Promise, Copy, Copied, Accept, Accepted, Prove, Proven)
+_OF_REPLICAS = (Status, Prepare, Promise, Replicate, ReplicateAck, Accept, Accepted, Probe, ProbeAck)
+
+
+def _caller(peer: Hello) -> str:
+    """The name that the replica knows a registry by: another life of it is another caller."""
+    return f"@{peer.ip}#{peer.life}"
 
 
 class Store:
@@ -138,14 +143,14 @@
                 self._carry_out(self._replica.linked(asyncio.get_running_loop().time(), peer.ip))
             return
         self._registries[link] = None
-        self._callers[f"@{peer.ip}"] = link
+        self._callers[_caller(peer)] = link
         link.send(Fresh(self._fresh, self._config[0]))
         self._show(link)
 
     def _down(self, link: Link) -> None:
         self._registries.pop(link, None)
-        if link.peer is not None and self._callers.get(f"@{link.peer.ip}") is link:
-            del self._callers[f"@{link.peer.ip}"]
+        if link.peer is not None and self._callers.get(_caller(link.peer)) is link:
+            del self._callers[_caller(link.peer)]
 
     def _heard(self, link: Link, message: Message) -> None:
         if self._replica is None or link.peer is None:
@@ -154,8 +159,8 @@
         if link.peer.role == ROLE:
             if isinstance(message, _OF_REPLICAS):
                 self._carry_out(self._replica.hear(now, link.peer.ip, message))
-        elif isinstance(message, Put | Read):
-            self._carry_out(self._replica.hear(now, f"@{link.peer.ip}", message))
+        elif isinstance(message, Write | Read):
+            self._carry_out(self._replica.hear(now, _caller(link.peer), message))
 
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -55,17 +55,17 @@
     NOTHING,
     Accept,
     Accepted,
-    Copied,
-    Copy,
-    Done,
+    ReplicateAck,
+    Replicate,
+    WriteAck,
     Message,
     Prepare,
     Promise,
-    Prove,
-    Proven,
-    Put,
+    Probe,
+    ProbeAck,
+    Write,
     Read,
-    ReadDone,
+    ReadAck,
     Record,
     Status,
 )
@@ -206,6 +206,7 @@
         self._sealed_epoch = 0  # the record under which this life was active last
         self._lacks: list[str] = []  # what operators were told is not borne
         self._voters_next: list[str] = []  # who is to vote under the next record, where that changes
+        self.left = False  # after leave(): the process may end now
         self.actions: list[Action] = []
         self.peers: dict[str, _Peer] = {}
         self.stage = Stage.IDLE
@@ -266,7 +267,7 @@
         for number, (to, call, _, until) in list(self._questions.items()):
             if now > until:
                 del self._questions[number]
-                self._send(to, ReadDone(call, -1, why="the epoch could not be proven"))
+                self._send(to, ReadAck(call, -1, why="the epoch could not be proven"))
         return self.take()
 
     def hear(self, now: float, sender: str, message: Message) -> list[Action]:
@@ -279,20 +280,20 @@
                 self._prepare(now, sender, epoch)
             case Promise():
                 self._promised(now, sender, message)
-            case Copy():
+            case Replicate():
                 self._copy(sender, message)
-            case Copied():
+            case ReplicateAck():
                 self._copied(now, sender, message)
             case Accept(record):
                 self._accept(sender, record)
             case Accepted(epoch, ok, promised):
                 self._accepted(now, sender, epoch, ok, promised)
-            case Prove(epoch, number):
+            case Probe(epoch, number):
                 ok = not self.kept.blank and self.kept.promised <= epoch
-                self._send(sender, Proven(epoch, number, ok))
-            case Proven(epoch, number, ok):
+                self._send(sender, ProbeAck(epoch, number, ok))
+            case ProbeAck(epoch, number, ok):
                 self._proven(sender, epoch, number, ok)
-            case Put():
+            case Write():
                 self._put(now, sender, message)
             case Read(number):
                 self._read(now, sender, number)
@@ -312,7 +313,7 @@
         """The process ends in order: the backup need not wait for its silence to lead."""
         if self.stage is not Stage.IDLE:
             self._step_down(now, "this process ends")
-        self._rest_until = inf
+        self._rest_until, self.left = inf, True
         told = msgspec.structs.replace(self.status, leaving=True)
         for peer in self.peers:
             self._send(peer, told)
@@ -574,15 +575,15 @@
         self.backup = there[0]
         self._step_until = now + STEP_S
         kept = self.kept
-        self._send(self.backup, Copy(self.epoch, kept.version, _raw(kept.body), True))
+        self._send(self.backup, Replicate(self.epoch, kept.version, _raw(kept.body), True))
 
-    def _copy(self, sender: str, copy: Copy) -> None:
+    def _copy(self, sender: str, copy: Replicate) -> None:
         kept = self.kept
         body = bytes(copy.body) if copy.version else b""
         if copy.whole:
             # a blank machine may hold a copy: it promises nothing by that
             if copy.epoch < max(kept.promised, kept.given) or self._leading(copy.epoch):
-                self._send(sender, Copied(copy.epoch, copy.version, False, kept.promised))
+                self._send(sender, ReplicateAck(copy.epoch, copy.version, False, kept.promised))
                 return
             if self.stage is not Stage.IDLE:
                 self._step_down(0.0, f"{sender} leads under epoch {copy.epoch}")
@@ -590,16 +591,16 @@
             self._save(version=copy.version, body=body, given=copy.epoch, **changes)
         else:
             if copy.epoch < kept.promised or kept.given != copy.epoch or self._leading(copy.epoch):
-                self._send(sender, Copied(copy.epoch, copy.version, False, kept.promised))
+                self._send(sender, ReplicateAck(copy.epoch, copy.version, False, kept.promised))
                 return
             if copy.version > kept.version:
                 self._save(version=copy.version, body=body)
-        self._send(sender, Copied(copy.epoch, copy.version, True, self.kept.promised))
+        self._send(sender, ReplicateAck(copy.epoch, copy.version, True, self.kept.promised))
 
     def _leading(self, epoch: int) -> bool:
         return self.stage is not Stage.IDLE and self.epoch >= epoch
 
-    def _copied(self, now: float, sender: str, answer: Copied) -> None:
+    def _copied(self, now: float, sender: str, answer: ReplicateAck) -> None:
         if answer.epoch != self.epoch or sender != self.backup or self.stage is Stage.IDLE:
             return
         if not answer.ok:
@@ -760,7 +761,7 @@
         self._voters_next = []
         self._answer_queue("not the primary any more")
         for to, call, _, _ in self._questions.values():
-            self._send(to, ReadDone(call, -1, why="not the primary any more"))
+            self._send(to, ReadAck(call, -1, why="not the primary any more"))
         self._questions.clear()
         self._rest(now)
         self._rest_until = max(self._rest_until, now + SILENT_S)
@@ -768,24 +769,24 @@
     def _answer_queue(self, why: str) -> None:
         for waiting in self._queue:
             for to, number in waiting.callers:
-                self._send(to, Done(number, False, why))
+                self._send(to, WriteAck(number, False, why))
         self._queue = []
 
     # ---- calls of registries
 
-    def _put(self, now: float, sender: str, put: Put) -> None:
+    def _put(self, now: float, sender: str, put: Write) -> None:
         if self.stage is not Stage.ACTIVE:
-            self._send(sender, Done(put.number, False, "not the primary"))
+            self._send(sender, WriteAck(put.number, False, "not the primary"))
             return
         if put.version <= self._in_force:
-            self._send(sender, Done(put.number, True))
+            self._send(sender, WriteAck(put.number, True))
             return
         for waiting in self._queue:
             if waiting.version >= put.version:  # kept with it, or overtaken by it
                 waiting.callers.append((sender, put.number))
                 return
         if len(self._queue) >= QUEUE:
-            self._send(sender, Done(put.number, False, "too many at once"))
+            self._send(sender, WriteAck(put.number, False, "too many at once"))
             return
         self._queue.append(_Waiting(put.version, bytes(put.body), [(sender, put.number)]))
         if len(self._queue) == 1:
@@ -794,27 +795,27 @@
     def _replicate(self, now: float) -> None:
         waiting = self._queue[0]
         self._copying_since = now
-        self._send(self.backup, Copy(self.epoch, waiting.version, _raw(waiting.body), False))
+        self._send(self.backup, Replicate(self.epoch, waiting.version, _raw(waiting.body), False))
         self._save(version=waiting.version, body=waiting.body)
 
     def _kept_twice(self, now: float) -> None:
         waiting = self._queue.pop(0)
         self._force(waiting.version, waiting.body)
         for to, number in waiting.callers:
-            self._send(to, Done(number, True))
+            self._send(to, WriteAck(number, True))
         if self._queue:
             self._replicate(now)
 
     def _read(self, now: float, sender: str, number: int) -> None:
         if self.stage is not Stage.ACTIVE:
-            self._send(sender, ReadDone(number, -1, why="not the primary"))
+            self._send(sender, ReadAck(number, -1, why="not the primary"))
             return
         self._last_question += 1
         yes = {self.me: True}
         self._questions[self._last_question] = sender, number, yes, now + STEP_S
         for voter in self.voters:
             if voter != self.me:
-                self._send(voter, Prove(self.epoch, self._last_question))
+                self._send(voter, Probe(self.epoch, self._last_question))
         self._answer_read(self._last_question)
 
     def _proven(self, sender: str, epoch: int, number: int, ok: bool) -> None:
@@ -828,7 +829,7 @@
         if not self._enough(yes, [self.voters]):
             return
         del self._questions[number]
-        self._send(to, ReadDone(call, self._in_force, _raw(self._body_in_force)))
+        self._send(to, ReadAck(call, self._in_force, _raw(self._body_in_force)))
 
 
 def _raw(body: bytes) -> msgspec.Raw:
--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from furrow.messages import Done, Message, Put, Read, ReadDone
+from furrow.messages import WriteAck, Message, Write, Read, ReadAck
 from rootstock.replica import InForce, Kept, Replica, Save, Send, Stage
 
 TICK_S = 0.05
@@ -54,7 +54,7 @@
         self.acknowledged = 0
         self.bodies: dict[int, bytes] = {}
         self.seen_in_force: dict[int, bytes] = {}
-        self.answers: list[Done | ReadDone] = []
+        self.answers: list[WriteAck | ReadAck] = []
         self.reads: dict[int, int] = {}  # by number: what was acknowledged when it was asked
         self.actives: dict[int, str] = {}  # by epoch: who led
         for ip in names:
@@ -94,7 +94,7 @@
     def put(self, ip: str, version: int) -> None:
         body = self.bodies.setdefault(version, b'{"v":%d}' % version)
         self._number += 1
-        self._later(self.now + 0.002, ip, ("hear", self.machines[ip].life, HERE, Put(version, version, msgspec.Raw(body))))
+        self._later(self.now + 0.002, ip, ("hear", self.machines[ip].life, HERE, Write(version, version, msgspec.Raw(body))))
 
     def read(self, ip: str) -> int:
         self._number += 1
@@ -174,7 +174,7 @@
 
     def _answered(self, message: Any) -> None:
         self.answers.append(message)
-        if isinstance(message, Done) and message.ok:
+        if isinstance(message, WriteAck) and message.ok:
             self.acknowledged = max(self.acknowledged, message.number)
-        if isinstance(message, ReadDone) and message.version >= 0 and message.version < self.reads[message.number]:
+        if isinstance(message, ReadAck) and message.version >= 0 and message.version < self.reads[message.number]:
             raise Violation(f"read {message.version}, {self.reads[message.number]} was acknowledged before")
--- a/tests/system/test_store_exhaustive.py
+++ b/tests/system/test_store_exhaustive.py
@@ -14,7 +14,7 @@
 import msgspec
 import pytest
 
-from furrow.messages import Done, Put, Read, ReadDone
+from furrow.messages import WriteAck, Write, Read, ReadAck
 from rootstock.replica import InForce, Kept, Replica, Save, Send, Stage
 
 IPS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
@@ -54,9 +54,9 @@
             elif isinstance(action, Send):
                 if action.to in self.replicas:
                     self.ways.setdefault((ip, action.to), []).append(action.message)
-                elif isinstance(action.message, Done) and action.message.ok:
+                elif isinstance(action.message, WriteAck) and action.message.ok:
                     self.acknowledged = max(self.acknowledged, action.message.number)
-                elif isinstance(action.message, ReadDone):
+                elif isinstance(action.message, ReadAck):
                     self.read.append(action.message.version)
 
     def call(self, ip: str, message: Any) -> None:
@@ -110,7 +110,7 @@
             self.deliver(which)
         elif what == "put":
             self.put = True
-            self.call(which, Put(2, 2, msgspec.Raw(b'{"v":2}')))
+            self.call(which, Write(2, 2, msgspec.Raw(b'{"v":2}')))
         elif what == "lose":
             self.lose(*which)
         elif what == "back":
@@ -122,7 +122,7 @@
 def begun() -> World:
     world = World()
     world.settle(4.0)
-    world.call(world.primary or "", Put(1, 1, msgspec.Raw(b'{"v":1}')))
+    world.call(world.primary or "", Write(1, 1, msgspec.Raw(b'{"v":1}')))
     world.settle(1.0)
     assert world.acknowledged == 1
     world.ways.clear()
--- a/troutdock/cli/system.py
+++ b/troutdock/cli/system.py
@@ -14,7 +14,7 @@
 from almanac.configuration import Configuration, Refused, longest, read_configuration
 from almanac.settings import REQUIRED
 from espalier.routes import Table
-from furrow.messages import Done
+from furrow.messages import WriteAck
 from furrow.trace import TraceError, play, read_trace
 from rootstock.replica import EVENTS, InForce, Log, Send, again
 from troutdock.cli.common import call, plain_errors
@@ -236,7 +236,7 @@
                 found.append({"at": now, "what": text})
             case InForce(version, _):
                 found.append({"at": now, "what": f"In force: r{version}."})
-            case Send(to, Done(number, ok, why)):
+            case Send(to, WriteAck(number, ok, why)):
                 found.append({"at": now, "what": f"Call {number} of {to}: {'kept' if ok else why}."})
     return found
 
