--- a/furrow/messages.py
+++ b/furrow/messages.py
@@ -259,7 +259,7 @@
 
 
 class ReplicateAck(Struct, tag="replicate_ack", tag_field="t", omit_defaults=True):
-XX    """It is on the backup's disk; ok false: promised tells why not, or lacks: its body has to come as well."""
+    """It is on the backup's disk; ok false: promised tells why not, or lacks: its body has to come too."""
 
     epoch: int
     version: int
