Store: nobody asks while another is elected and gives its copies

A candidate that a majority has promised says so, and has the time of its copies; learning a record counts as hearing its primary lead.

--- a/furrow/messages.py
+++ b/furrow/messages.py
@@ -208,7 +208,8 @@
 
     blank: it has lost its disk and promises nothing; holds: all that was confirmed under its record is there;
     voters: whose promises count; digest: of the body under version; life: of its process; leaving: its
-    process is about to end, so that nothing new is given to it.
+    process is about to end, so that nothing new is given to it; elected: a majority has promised it an epoch,
+    and it gives its backups what it has.
     """
 
     promised: int
@@ -221,6 +222,7 @@
     leaving: bool = False
     digest: str = ""
     life: int = 0
+    elected: bool = False
 
 
 class Prepare(Struct, tag="prepare", tag_field="t"):
--- a/rootstock/copies.py
+++ b/rootstock/copies.py
@@ -34,21 +34,20 @@
         """A backup has had its time for the batch."""
         return bool(self.waits) and self._state.now - self._since > self._allowed_s
 
-    @property
-    def until(self) -> float:
-        """When the batch will be late."""
-        return self._since + self._allowed_s
+    def allowed_s(self, body: bytes) -> float:
+        """For a backup to have that body on its disk."""
+        return REPLICATE_S + self.size(body) / BYTES_S
 
-    def _begin(self, backups: Iterable[str], size: int) -> None:
+    def _begin(self, backups: Iterable[str], body: bytes) -> None:
         self._number += 1
         self._since = self._state.now
-        self._allowed_s = REPLICATE_S + size / BYTES_S
+        self._allowed_s = self.allowed_s(body)
         self.waits = dict.fromkeys(backups)
 
     def recruit(self, backups: list[str]) -> None:
         """Give these machines all that is here; they are the backups from now on."""
         self.backups = list(backups)
-        self._begin(backups, self.size(self._state.kept.body))
+        self._begin(backups, self._state.kept.body)
         for backup in backups:
             self._snapshot(backup, self._has(backup))
 
@@ -75,7 +74,7 @@
         """Give all backups one batch, and keep it here. version: the newest configuration with it."""
         state = self._state
         rises = version > state.kept.version
-        self._begin(self.backups, self.size(body) if rises else 0)
+        self._begin(self.backups, body if rises else b"")
         digest = dict(taken).get(version, "")
         sent = raw(body) if rises else NOTHING
         for backup in self.backups:
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -157,6 +157,7 @@
         self._failed: dict[str, float] = {}  # and when each did not
         self._told: dict[str, Status] = {}  # since the start, by voters that have not lost their disk
         self._in_contact = False  # as operators were told
+        self._led_at = now  # an active primary was heard last, or this life began
         if kept is not None:
             if kept.version and not kept.digest:  # a disk of before digests were kept
                 state.kept = replace(kept, taken=((kept.version, digest_of(kept.body)),))
@@ -297,6 +298,7 @@
             self._leaving,
             kept.digest,
             state.life,
+            self.stage in (Stage.RECRUITS, Stage.SEALS),
         )
 
     @property
@@ -340,6 +342,8 @@
             self._yes.pop(sender, None)  # what its earlier life promised may be forgotten
         if status.active or peer.led_at == -inf:
             peer.led_at = state.now
+        if status.active:
+            self._led_at = state.now
         peer.status, peer.heard_at = status, state.now
         if not state.kept.voters and status.voters:
             state.kept = replace(state.kept, voters=tuple(status.voters))  # on disk with the next save
@@ -371,6 +375,12 @@
             return
         if status.active or (record.epoch >= kept.promised and (state.member(record) or not state.holds)):
             state.save(promised=max(kept.promised, record.epoch), record=record)
+            self._led(record.primary)
+
+    def _led(self, peer: str) -> None:
+        """It leads under a record that was just learnt: it has the time of one that was heard to lead."""
+        if (known := self._state.peers.get(peer)) is not None:
+            known.led_at = self._state.now
 
     def _learn(self) -> None:
         """Without a disk of before: enough voters have told what they promised (rule 3)."""
@@ -407,7 +417,7 @@
         if self._leaving or record is None or not state.holds or state.leader() is not None:
             return False
         there = [self.me, *(p for p in state.peers if state.heard(p))]
-        if not state.enough(there, record):
+        if not state.enough(there, record) or self._another_is_elected(there):
             return False
         if state.now - state.began < SILENT_S * 2 and any(
             status is not None and status.record is not None and status.record.epoch > record.epoch
@@ -424,6 +434,13 @@
             return False  # else it is there and can't lead (its disk was lost) or has not come to it for long
         return long_ago or not any(state.stays(b) for b in record.copies[1:turn])
 
+    def _another_is_elected(self, there: list[str]) -> bool:
+        """A majority has promised an epoch to somebody else, who has time for the copies that it gives."""
+        state = self._state
+        heard = [state.peers[p].status for p in there if p != self.me]
+        time = PATIENCE_S + 3 * self._copies.allowed_s(state.kept.body)
+        return state.now - self._led_at <= time and any(s is not None and s.elected for s in heard)
+
     def _ask(self, *tried: str) -> None:
         """Lead a new epoch. tried: machines that are not worth recruiting now."""
         state, kept = self._state, self._state.kept
@@ -596,6 +613,7 @@
         if self.stage is not Stage.IDLE:
             self._step_down(f"{record.primary} leads under epoch {record.epoch}")
         state.save(promised=record.epoch, record=record)
+        self._led(record.primary)
         state.send(sender, Accepted(record.epoch, True, record.epoch, asked.life))
 
     def _leading(self, epoch: int) -> bool:
