Ingress: whom to follow and what to serve, as a pure machine with contact and digests

Cause: looks at other registries were one after the other, 0.6 s for each address that hangs (two dead of four: over 1.2 s), and came again every 0.3 s while nobody was in contact; links that were not followed kept whole configurations without a bound; a new life served whatever a cut-off registry told it from 0.9 s on; a configuration was its number alone.

Ruled out: polling with a growing pause (late, and each look is told all again); following the first that regains contact (at a change of primaries it would get every follower).

Change: espalier/following.py decides (events in, actions out), espalier/news.py is the loop round it. Out of contact configurations are held; who has none by contactS after its start serves the highest it was told and says so once. Same number, other digest: an error, mended once and from one in contact. Who stood still for over SILENT_S cuts its links and wants no clients until it has heard again, or contactS is over.

--- a/espalier/daemon.py
+++ b/espalier/daemon.py
@@ -17,13 +17,14 @@
 from almanac.boot import Boot, load_boot
 from almanac.configuration import Refused, read_configuration
 from almanac.settings import SettingsError
+from espalier.following import Act, Note, Ready, Serve, Serving, same
 from espalier.mesh import ROLE, Mesh
 from espalier.news import Feed
 from espalier.reader import SystemReader, passes, verdict
 from espalier.routes import Table
 from espalier.shares import News
 from furrow.calls import Call, CallServer, Reply
-from furrow.link import Address, Link
+from furrow.link import SILENT_S, Address, Link
 from furrow.messages import (
     GONE,
     Config,
@@ -73,7 +74,7 @@
 FORGET_S = 30.0  # between two looks for what has long been gone
 SETTINGS_S = 2.0  # between two looks at the settings file, which may change without a signal
 DRAIN_MOST_S = 2.6  # after SIGTERM clients still come: two questions for readiness have to be missed
-DOOR_S = 0.9  # from the start until clients are told that there is no configuration yet
+DOOR_S = 0.9  # from the start until clients are told that there is no configuration yet, or are served
 LEFT_S = 0.4  # of the grace: kept for the end itself
 STATES = {0: BackendState.READY, 1: BackendState.DRAINING, 2: BackendState.GONE}
 NOTHING = Settings(
@@ -173,13 +174,14 @@
         self.server.health_path = None
         self.server.passes = passes
         self.server.drain_accept_s = self.server.drain_most_s = DRAIN_MOST_S
-        self.feed = Feed(boot, self._hello, self._heard, self._followed)
+        self.serving = Serving(self._loop.time(), values["bounds.contactS"])
+        self.feed = Feed(boot, self._hello, self._heard, self._followed, self.serving.lost, self._has)
         self.mesh = Mesh(
             boot, self._hello, self._others, self._told_level, self._levels, self._company, self.book
         )
         self._decides.mesh = self.mesh
         self._readiness = CallServer(self._ready, 1024)
-        self._synced = False  # the newest configuration has been here once
+        self._sampled_at = self._loop.time()
         self._ending = self._opened = False
         self._mark: tuple[int, int, int] | None = None  # of the settings file that was read last
 
@@ -189,6 +191,7 @@
         # who comes before there is a configuration stands at the door for a moment: nothing of it is read yet
         address = self.server.listen(http, hold=True)
         self._loop.call_later(DOOR_S, self._open)
+        self._loop.call_later(self.serving.contact_s, self._tick_serving)
         await self.mesh.start(inner)
         self.feed.start()
         self._sweep()
@@ -209,7 +212,9 @@
     @property
     def ready(self) -> bool:
         """Wants clients: it has had the newest configuration, and knows a backend."""
-        return self._synced and not self._ending and bool(self._numbers) and self.reader.table is not None
+        return (
+            self.serving.ready and not self._ending and bool(self._numbers) and self.reader.table is not None
+        )
 
     async def _ready(self, call: Call) -> Reply:
         return Reply(200 if self.ready else 503)
@@ -218,6 +223,7 @@
 
     def _followed(self, link: Link) -> None:
         """A registry is followed anew: it may have lost what this ingress knows."""
+        self.serving.followed()
         now = self._loop.time()
         known = self.book.told(now)
         if known:
@@ -225,8 +231,8 @@
 
     def _heard(self, message: Message) -> None:
         match message:
-            case Config(version, body):
-                self._configure(version, bytes(body))
+            case Config():
+                self._act(self.serving.config(self._loop.time(), message))
             case Instances(entries):
                 self._instances(self.book.hear(self._loop.time(), entries))
             case Silence(silent, back):
@@ -238,24 +244,40 @@
                 self.mesh.listed(message)
             case Registries(zones):
                 self.feed.learn(zones)
-            case Fresh(fresh, version):
-                own = self.reader.table.version if self.reader.table is not None else 0
-                if fresh and own >= version and own:
-                    if not self._synced:
-                        log.info("Ready with r{}.", own)
-                    self._synced = True
-                    self._open()
+            case Fresh():
+                self._act(self.serving.fresh(self._loop.time(), message))
             case _:
                 pass
 
-    def _configure(self, version: int, body: bytes) -> None:
-        """A configuration that is in force: swapped in one step, never for an older one."""
-        if self.reader.table is not None and version <= self.reader.table.version:
-            return
+    def _has(self, config: Config) -> bool:
+        """Of no use, if a registry that is not followed yet tells it."""
+        own = self.serving
+        return config.version < own.version or (
+            config.version == own.version and same(config.digest, own.digest)
+        )
+
+    def _act(self, acts: list[Act]) -> None:
+        """What the machine for configurations has decided."""
+        for act in acts:
+            match act:
+                case Serve(config):
+                    ok = self._configure(config.version, bytes(config.body))
+                    self._act(self.serving.served(config, ok))
+                case Ready(version):
+                    log.info("Ready with r{}.", version)
+                    self._open()
+                case Note(level, text):
+                    getattr(log, level)("{}", text)
+
+    def _tick_serving(self) -> None:
+        self._act(self.serving.tick(self._loop.time()))
+
+    def _configure(self, version: int, body: bytes) -> bool:
+        """Swap in a configuration, in one step; false: it can't be read, and nothing has changed."""
         found = read_configuration(body)
         if isinstance(found, Refused):
             log.error("Configuration r{} can't be read: {}", version, found)
-            return
+            return False
         table = Table(found, self._tenants)
         for service in found.services:
             self._pool_of(service)
@@ -267,6 +289,7 @@
         self.server.head_s = found.limits.header_ms / 1000
         self.server.idle_s = found.limits.idle_ms / 1000
         log.info("Configuration r{}: {} routes.", version, len(found.routes))
+        return True
 
     def _pool_of(self, service: str) -> int:
         number = self._pools.get(service)
@@ -349,8 +372,20 @@
 
     def _sample(self) -> None:
         self.lag.sample()
+        now = self._loop.time()
+        stood, self._sampled_at = now - self._sampled_at, now
+        if stood > SILENT_S:
+            self._woke(stood)
         self._loop.call_later(SAMPLE_S, self._sample)
 
+    def _woke(self, stood_s: float) -> None:
+        """The process stood still for so long: what its links hold is of before, and others have cut them."""
+        log.warning("Stood still for {:.1f} s: links begin anew.", stood_s)
+        self.serving.woke(self._loop.time())
+        self.feed.renew()
+        self.mesh.renew()
+        self._loop.call_later(self.serving.contact_s, self._tick_serving)
+
     def _look_at_settings(self) -> None:
         """The file may change without a signal; what can change in service is who the seeds are."""
         try:
--- a/espalier/mesh.py
+++ b/espalier/mesh.py
@@ -181,6 +181,11 @@
             self._told = company
             self._company(*company)
 
+    def renew(self) -> None:
+        """Cut all links: what stands in them was said before this process stood still."""
+        for link in list(self._links):
+            link.cut()
+
     def close(self) -> None:
         """End in order."""
         self._closed = True
--- a/espalier/news.py
+++ b/espalier/news.py
@@ -1,54 +1,82 @@
-"""The ingress's link to a registry: whom it follows, and when it goes to another.
+"""The ingress's links to registries: the thin loop round espalier.following.
 
-The order is agreed: registries in the own zone first, then the others in an order of this ingress's own, so
-that those that are left share the followers of one that is lost. Whoever is followed tells all it knows,
-then changes. One that is silent is left by the link's own measure; one that is not in touch with the
-store's primary is left for one that is, if there is any. What was learnt stays, whoever is lost.
+Whoever is followed tells all it knows, then changes. One that is silent is left by the link's own measure.
+What was learnt stays, whoever is lost. Of a link that is not followed yet one configuration is kept and
+BEFORE_MOST other messages; of a standby nothing.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 import logbook
 
 from almanac.boot import Boot
+from espalier.following import Cut, Dial, Follow, Following, Shed, Step
 from furrow.link import CONNECT_S, Link
-from furrow.messages import Fresh, Hello, Message
-from pollen.order import in_order
+from furrow.messages import Config, Fresh, Hello, Message
 
 log = logbook.Logger("news")
 
 REGISTRY = "hedgerow"
 PORT = 0  # of the system's own ports
-RETRY_S = 0.1  # between two tries of all
-BETTER_S = 2.0  # between two looks for a registry that would be better
+BEFORE_MOST = 64  # messages beside a configuration that are kept of a link until it is followed
+FOR_EVER_S = 3600.0
+
+
+class _Before:
+    """What a link has said that is not followed yet, in its order, bounded."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def add(self, message: Message) -> bool:
+        """Keep it; false: there is no room."""
+        if isinstance(message, Config):
+            self.messages = [m for m in self.messages if not isinstance(m, Config)]
+        elif len(self.messages) >= BEFORE_MOST:
+            return False
+        self.messages.append(message)
+        return True
 
 
 class Feed:
     """Follows one registry at a time; heard gets what it says, up is called when one is followed anew."""
 
     def __init__(
-        self, boot: Boot, hello: Hello, heard: Callable[[Message], None], up: Callable[[Link], None]
+        self,
+        boot: Boot,
+        hello: Hello,
+        heard: Callable[[Message], None],
+        up: Callable[[Link], None],
+        lost: Callable[[], None] = lambda: None,
+        has: Callable[[Config], bool] = lambda _: False,
     ) -> None:
+        """lost: nobody is followed any more. has: a configuration that need not be kept."""
         self._boot, self._hello, self._on_message, self._on_up = boot, hello, heard, up
+        self._on_lost, self._has = lost, has
         self._loop = asyncio.get_running_loop()
-        self.registries: dict[str, str] = {host: "" for host, _ in boot.seeds}  # address, and zone once met
+        self.following = Following(boot.name, boot.zone, [host for host, _ in boot.seeds])
         self._link: Link | None = None
-        self._fresh: dict[Link, Fresh] = {}
-        self._before: dict[Link, list[Message]] = {}  # said on links that are not followed yet
-        self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._links: dict[int, Link] = {}
+        self._numbers: dict[Link, int] = {}
+        self._before: dict[int, _Before] = {}
+        self._dials: dict[int, asyncio.Task[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._carrying = False
+        self._waiting: list[Step] = []
+        self._closed = False
+
+    @property
+    def registries(self) -> dict[str, str]:
+        """Those that are known: zones by address, empty where not met yet."""
+        return self.following.registries
 
     def start(self) -> None:
         """Begin to look for one."""
-        self._task = self._loop.create_task(self._run())
-
-    @property
-    def fresh(self) -> Fresh | None:
-        """What the one that is followed says of how new its configuration is."""
-        return self._fresh.get(self._link) if self._link is not None else None
+        self._tick()
 
     def send(self, message: Message) -> bool:
         """Tell the one that is followed."""
@@ -56,109 +84,133 @@
 
     def learn(self, registries: dict[str, str]) -> None:
         """Registries that there are, with their zones."""
-        self.registries.update(registries)
+        self._carry_out(self.following.learnt(self._loop.time(), registries))
 
-    def _order(self) -> list[str]:
-        found = in_order(self._boot.name, self.registries)
-        return sorted(found, key=lambda ip: self.registries[ip] != self._boot.zone)
+    def renew(self) -> None:
+        """Cut all links: what stands in them was said before this process stood still."""
+        for link in list(self._links.values()):
+            link.cut()
+
+    # ---- links
 
     def _heard(self, link: Link, message: Message) -> None:
-        if isinstance(message, Fresh):
-            self._fresh[link] = message
-            self._wake.set()
+        if (number := self._numbers.get(link)) is None:
+            return
         if link is self._link:
             self._on_message(message)
-        else:
-            self._before.setdefault(link, []).append(message)
+        elif (before := self._before.get(number)) is not None:
+            unneeded = isinstance(message, Config) and self._has(message)
+            if not unneeded and not before.add(message):
+                log.warning("Registry {} says too much to wait for.", link.peer.name if link.peer else "?")
+                link.cut()
+                return
+        if isinstance(message, Fresh):
+            self._carry_out(self.following.told(self._loop.time(), number, message.fresh))
+
+    def _up(self, link: Link) -> None:
+        peer = link.peer
+        assert peer is not None
+        number = self._numbers.get(link)
+        if number is None or peer.role != REGISTRY:
+            link.cut()
+            return
+        self._before[number] = _Before()
+        self._carry_out(self.following.met(self._loop.time(), number, peer.ip, peer.zone))
 
     def _down(self, link: Link) -> None:
-        self._fresh.pop(link, None)
-        self._before.pop(link, None)
+        if (number := self._numbers.get(link)) is None:
+            return
+        self._drop(number)
         if link is self._link:
             self._link = None
             log.info("Registry lost.")
-        self._wake.set()
+            self._on_lost()
+        self._carry_out(self.following.ended(self._loop.time(), number))
 
-    def _up(self, link: Link) -> None:
-        assert link.peer is not None
-        self.registries[link.peer.ip] = link.peer.zone
-        self._wake.set()
+    def _drop(self, number: int) -> None:
+        self._before.pop(number, None)
+        link = self._links.pop(number, None)
+        if link is not None:
+            self._numbers.pop(link, None)
 
-    async def _connect(self, ip: str) -> Link | None:
-        """A link whose peer has said who it is."""
-        link = Link(self._hello, self._heard, self._up, self._down)
+    async def _connect(self, number: int, ip: str, link: Link) -> None:
         try:
             async with asyncio.timeout(CONNECT_S):
                 await self._loop.create_connection(lambda: link, ip, self._boot.port(PORT))
-                while link.open and link.peer is None:
-                    self._wake.clear()
-                    await self._wake.wait()
         except (OSError, TimeoutError):
             link.cut()
-            return None
-        return link if link.open else None
-
-    def _follow(self, link: Link) -> None:
-        before, self._link = self._link, link
-        if before is not None:
-            before.cut()
+            if number in self._links:
+                self._drop(number)
+                self._carry_out(self.following.ended(self._loop.time(), number))
+        finally:
+            self._dials.pop(number, None)
+
+    # ---- steps
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = self._loop.time()
+        for number, link in self._links.items():
+            self.following.heard(number, link.heard_at)
+        self._carry_out(self.following.tick(now))
+
+    def _carry_out(self, steps: list[Step]) -> None:
+        """One after the other, also where one leads to others."""
+        self._waiting += steps
+        if self._carrying or self._closed:
+            return
+        self._carrying = True
+        try:
+            while self._waiting:
+                self._do(self._waiting.pop(0))
+        finally:
+            self._carrying = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        wait = self.following.wait(self._loop.time())
+        if wait != inf and not self._closed:
+            self._timer = self._loop.call_later(min(max(wait, 0.01), FOR_EVER_S), self._tick)
+
+    def _do(self, step: Step) -> None:
+        match step:
+            case Dial(number, ip):
+                link = Link(self._hello, self._heard, self._up, self._down)
+                self._links[number], self._numbers[link] = link, number
+                self._dials[number] = self._loop.create_task(self._connect(number, ip, link))
+            case Follow(number):
+                self._follow(number)
+            case Shed(number):
+                self._before.pop(number, None)
+            case Cut(number):
+                cut = self._links.get(number)
+                self._drop(number)
+                if (dial := self._dials.pop(number, None)) is not None:
+                    dial.cancel()
+                if cut is not None:
+                    cut.cut()
+
+    def _follow(self, number: int) -> None:
+        link = self._links.get(number)
+        if link is None or not link.open:  # it has just ended, and says so next
+            return
+        self._link = link
         assert link.peer is not None
         log.info("Follows {}.", link.peer.name)
         self._on_up(link)
-        for message in self._before.pop(link, []):
+        before = self._before.pop(number, None)
+        for message in before.messages if before is not None else ():
             self._on_message(message)
 
-    async def _run(self) -> None:
-        looked_at = self._loop.time()
-        while True:
-            link = self._link
-            if link is None:
-                for ip in self._order():
-                    if (found := await self._connect(ip)) is not None:
-                        self._follow(found)
-                        break
-                else:
-                    await asyncio.sleep(RETRY_S)
-                    continue
-                looked_at = self._loop.time()
-                continue
-            fresh = self._fresh.get(link)
-            stale = fresh is not None and not fresh.fresh
-            order = self._order()
-            assert link.peer is not None
-            here = order.index(link.peer.ip) if link.peer.ip in order else len(order)
-            if (stale or here) and self._loop.time() - looked_at > (0.3 if stale else BETTER_S):
-                looked_at = self._loop.time()
-                for ip in order if stale else order[:here]:
-                    if ip == link.peer.ip or (not stale and self.registries[ip] != self._boot.zone):
-                        continue
-                    if await self._better(ip):
-                        break
-                continue
-            self._wake.clear()
-            try:
-                async with asyncio.timeout(0.3):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-
-    async def _better(self, ip: str) -> bool:
-        """Follow that one if it is there and in touch with the primary."""
-        link = await self._connect(ip)
-        if link is None:
-            return False
-        until = self._loop.time() + CONNECT_S
-        while link.open and link not in self._fresh and self._loop.time() < until:
-            await asyncio.sleep(0.02)
-        if link.open and (fresh := self._fresh.get(link)) is not None and fresh.fresh:
-            self._follow(link)
-            return True
-        link.cut()
-        return False
-
     def close(self) -> None:
         """Follow nobody any more."""
-        if self._task is not None:
-            self._task.cancel()
-        if self._link is not None:
-            self._link.cut()
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        for dial in list(self._dials.values()):
+            dial.cancel()
+        for link in list(self._links.values()):
+            self._numbers.pop(link, None)
+            link.cut()
+        self._links.clear()
+        self._link = None
