--- a/tests/system/test_following.py
+++ b/tests/system/test_following.py
@@ -261,6 +261,52 @@
     assert len(w.at) == 1 and w.sites[w.place].zone == "a"
 
 
+def test_after_a_death_the_next_is_the_first_in_order_whatever_was_tried_before() -> None:
+    w = world("aab")
+    first, second, _ = w.following.order()
+    w.die(first)
+    w.run(5.0)
+    assert w.place == second
+    w.sites[first].state = "up"
+    w.die(second)
+    w.run(0.2)
+    assert w.place == first
+
+
+def test_a_near_address_that_hangs_is_tried_again_and_found() -> None:
+    w = world("ab", "hu")
+    w.run(3.0)
+    assert w.place == "2"
+    w.sites["1"].state = "up"
+    w.run(CONNECT_S + BETTER_S + 0.5)
+    assert w.place == "1"
+
+
+def test_a_near_standby_that_regains_contact_with_the_followed_one_is_not_followed_on_words_that_are_gone() -> None:
+    w = world("ab", "ru")
+    w.run(1.0)
+    w.sites["1"].state = "up"
+    for ip in "12":
+        w.contact(ip, False)
+    w.run(1.0)
+    assert len(w.at) == 2 and w.place == "2"
+    w.contact("1", True)
+    w.run(SETTLE_S / 2)
+    w.contact("2", True)
+    w.run(BETTER_S * 2 + 0.5)
+    assert w.place == "1"  # after a look of its own
+
+
+@pytest.mark.parametrize("which", range(2, 13))
+def test_of_more_registries_than_may_be_linked_each_has_its_turn(which: int) -> None:
+    w = world("abcdefghijkl", "u" * 12, "n" * 12)
+    w.run(5.0)
+    assert w.place == "1" and len(w.at) <= OTHERS_MOST + 1
+    w.contact(str(which), True)
+    w.run(12.0)
+    assert w.place == str(which)
+
+
 def test_in_contact_and_near_nothing_is_due_until_something_happens() -> None:
     w = world("abcd")
     w.run(1.0)
@@ -380,6 +426,25 @@
     assert life.served == [(5, "d5"), (6, "d6")]
 
 
+def test_who_has_served_an_old_one_serves_nothing_more_of_that_kind_once_in_contact() -> None:
+    life = Life()
+    life.config(0.1, 5)
+    life.tick(CONTACT_S)
+    life.fresh(4.0, True, 5)
+    life.fresh(5.0, False, 5)
+    life.config(5.1, 6)
+    assert life.served == [(5, "d5")]
+
+
+def test_one_that_is_below_the_newest_is_not_served_while_the_newest_is_on_its_way() -> None:
+    life = Life()
+    life.config(0.1, 5)
+    life.fresh(0.1, True, 6)
+    assert life.served == [] and not life.serving.ready
+    life.config(0.3, 6)
+    assert life.served == [(6, "d6")] and life.serving.ready
+
+
 @pytest.mark.parametrize("order", list(permutations(["old", "stale", "new", "contact", "time"])))
 def test_every_order_of_a_new_lifes_events(order: tuple[str, ...]) -> None:
     """old and stale are one registry's word, new and contact another's; each time it is followed anew."""
