Ingresses' words count for the life and the connection they belong to

Cause: the end of a former life's link, or of one of two links, took the new life's numbers away; tables of names were one for each name, whatever the life, were cut short by a second link's first message, and names beyond a gap fell on wrong numbers; second-hand word of a former life with a higher number displaced a neighbour's own, whose changes were then dropped; who had taken over a dialled address was taken for the one that was dialled, as was a former life of one's own.

Ruled out: 'the higher life wins' (a clock set back would shut a new life out for good) and one link a name (homes of two zones may dial each other, and would cut each other's links for ever).

Change: of one name the links of one life count, the last that came, unless the listing and the number speak for the one before; tables belong to a life; a linked neighbour's own word is not displaced by others'.

Over sockets: contact lost, none in contact, a new life cut off, a freeze, two bodies.

--- a/espalier/mesh.py
+++ b/espalier/mesh.py
@@ -1,13 +1,15 @@
 """The links of an ingress to others: its zone's, and as home for a duty those of other zones.
 
 The loop round espalier.shares. Of two ingresses the one with the lower address dials. Other zones are
-dialled by homes only; who is dialled takes part whatever it thinks of its own part.
+dialled by homes only; who is dialled takes part whatever it thinks of its own part. Of one name the links of
+one life count, those of the life that came last, and nothing that is said on another.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import logbook
 
@@ -128,16 +130,26 @@
                 del self._dialers[name]
         for name, member in wanted.items():
             if name not in self._dialers:
+                up = partial(self._up, expected=name)
                 self._dialers[name] = Dialer(
-                    (member.ip, member.port), self._hello, self._heard, self._up, self._down
+                    (member.ip, member.port), self._hello, self._heard, up, self._down
                 )
 
-    def _up(self, link: Link) -> None:
+    def _up(self, link: Link, expected: str = "") -> None:
+        """expected: whom it was dialled to reach; another one may have taken over the address."""
         peer = link.peer
         assert peer is not None
-        if peer.role != ROLE:
+        wrong = peer.role != ROLE or (expected and peer.name != expected)
+        if wrong or peer.name == self._hello.name:  # one's own name: a former life's connection
             link.cut()
             return
+        for other in list(self._links):
+            if other.peer is not None and other.peer.name == peer.name and other.peer.life != peer.life:
+                listed = self.exchange.members.get(peer.name)
+                if listed is not None and listed.life == other.peer.life and peer.life < other.peer.life:
+                    link.cut()  # of a former life, come late; one whose clock was set back tries again
+                    return
+                other.cut()
         self._links[link] = None
         away = peer.zone != self._boot.zone
         link.send(self.exchange.full(self._loop.time(), self._levels(), peer.name, away))
@@ -146,14 +158,16 @@
     def _down(self, link: Link) -> None:
         if link in self._links:
             del self._links[link]
-            if link.peer is not None and link.peer.zone == self._boot.zone:
-                self._on_news(self.exchange.forget(self._loop.time(), link.peer.name))
+            peer = link.peer
+            if peer is None or peer.zone != self._boot.zone or peer.name in self._neighbours():
+                return  # two links, where both have dialled: the other one is up
+            self._on_news(self.exchange.forget(self._loop.time(), peer.name))
 
     def _heard(self, link: Link, message: Message) -> None:
-        if not isinstance(message, Shares) or link.peer is None:
+        if not isinstance(message, Shares) or link.peer is None or link not in self._links:
             return
         now = self._loop.time()
-        news = self.exchange.hear(now, message, link.peer.name, link.peer.zone)
+        news = self.exchange.hear(now, message, link.peer.name, link.peer.zone, link.peer.life)
         if message.level:
             self._told_level(message.level)
         if news.out or news.used:
--- a/espalier/shares.py
+++ b/espalier/shares.py
@@ -69,10 +69,11 @@
 
 @dataclass(slots=True)
 class Origin:
-    """Another ingress of the zone, as it was told of last."""
+    """Another ingress of the zone, as it was told of last. own: by itself, on a link that is still up."""
 
     life: int
     heard_at: float
+    own: bool = False
     out: dict[str, int] = field(default_factory=dict)
     used: dict[str, int] = field(default_factory=dict)
 
@@ -124,7 +125,7 @@
         self._homes: set[str] = set()  # duties that were this one's at the last telling
         self._names: dict[str, int] = {}  # own table
         self._names_told: dict[str, int] = {}  # how much of it those of other zones know
-        self._tables: dict[str, list[str]] = {}  # of neighbours, by name
+        self._tables: dict[str, tuple[int, list[str]]] = {}  # of neighbours: by name, with their lives
         self._unlinked: dict[str, float] = {}  # other zones, and since when none of theirs is linked
         self._alone_since = inf  # a listed neighbour in the zone is not linked
         self._told_alive = self._told_use = 0.0
@@ -382,29 +383,39 @@
             del self._waiting[duty]  # another one tells it
         return found
 
-    def _named(self, sender: str, shares: Shares) -> list[str]:
-        """The sender's table, with what this message adds to it."""
-        table = self._tables.setdefault(sender, [])
-        if shares.base == 0:
-            table = self._tables[sender] = list(shares.names)
-        elif shares.base > 0:
-            table[shares.base :] = shares.names
+    def _named(self, sender: str, life: int, shares: Shares) -> list[str]:
+        """The sender's table, with what this message adds to it; empty names were never told here.
+
+        Two links of one life tell of one table in either order, so a base of 0 takes no later names away.
+        """
+        of, table = self._tables.get(sender, (life, []))
+        if of != life:
+            table = []
+        self._tables[sender] = life, table
+        if 0 <= shares.base <= len(table) + 2 * MOST_NAMES:
+            table.extend([""] * (shares.base - len(table)))
+            table[shares.base : shares.base + len(shares.names)] = shares.names
         return table
 
-    def hear(self, now: float, shares: Shares, sender: str, zone: str) -> News:
-        """A neighbour's message; numbers that its table does not have are left out. zone: the neighbour's."""
+    def hear(self, now: float, shares: Shares, sender: str, zone: str, life: int = 0) -> News:
+        """A neighbour's message; numbers that its table does not have are left out.
+
+        zone, life: the neighbour's, as it said them when the link began; 0: not told.
+        """
         news = News()
-        table = self._named(sender, shares)
+        table = self._named(sender, life, shares)
 
         def pairs(flat: list[int]) -> dict[str, int]:
             return {
                 table[n]: count
                 for n, count in zip(flat[::2], flat[1::2], strict=False)
-                if 0 <= n < len(table)
+                if 0 <= n < len(table) and table[n]
             }
 
         for share in shares.entries:
-            origin = table[share.origin] if 0 <= share.origin < len(table) else self.me
+            origin = (table[share.origin] if 0 <= share.origin < len(table) else "") or self.me
+            if origin == sender and life and share.life not in (0, life):
+                continue  # another life's word of itself
             out, used = pairs(share.out), pairs(share.used)
             if origin == ZONE + self.zone:
                 if zone == self.zone and share.life:
@@ -435,6 +446,8 @@
     ) -> None:
         """own: it speaks of itself, so that its life is the one that runs, whatever its clock says."""
         known = self.origins.get(origin)
+        if known is not None and known.own and not own:
+            return  # others can know no better, and may tell of a former life
         if not share.life and (known is None or known.life % TAGS != share.tag):
             return
         if known is not None and 0 < share.life < known.life and not own:
@@ -447,7 +460,7 @@
                     self._opened(instance, -count)
             known = self.origins[origin] = Origin(share.life, now)
         assert known is not None
-        known.heard_at = now
+        known.heard_at, known.own = now, own
         if full:
             out = {**{i: 0 for i in known.out if i not in out}, **out}
         changed = {i: n for i, n in out.items() if known.out.get(i, 0) != n}
@@ -519,6 +532,7 @@
         news = News()
         for name, o in list(self.origins.items()):
             if name == origin or now - o.heard_at > STALE_S:
+                o.own = False
                 if o.out:
                     news.out[name] = dict.fromkeys(o.out, 0)
                     for instance, count in o.out.items():
--- a/tests/system/test_following.py
+++ b/tests/system/test_following.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass, field
 from itertools import permutations, product
+from pathlib import Path
 from random import Random
 
 import msgspec
 import pytest
+from test_three_programs import play
+from whole import CONFIGURATION, Backend, Whole, call, good, until
 
+from espalier.daemon import Ingress
 from espalier.following import (
     AGAIN_S,
     BETTER_S,
@@ -30,7 +35,7 @@
 )
 from espalier.news import BEFORE_MOST, _Before
 from furrow.link import CONNECT_S
-from furrow.messages import Config, Fresh, Silence
+from furrow.messages import Config, Fresh, Silence, digest_of
 
 WAY_S = 0.01  # a message's time, in the test's world
 TICK_S = 0.05
@@ -546,3 +551,128 @@
 
 def test_stated_times_lie_within_contact_s() -> None:
     assert PATIENCE_S + 3 * STEP_S + SETTLE_S + CONNECT_S < CONTACT_S / 2
+
+
+# ---- the loop round it, over sockets
+
+
+def cut_off(w: Whole, ip: str, contact: bool = False) -> None:
+    """That registry loses its primary, or has one again."""
+    registry = w.registries[ip]
+    registry._carry_out(registry.registry.primary(contact))
+
+
+async def whole_and_served(w: Whole) -> None:
+    assert await w.put() == 200
+    await w.ready()
+    await until(lambda: all(len(i.feed.registries) == 3 for i in w.ingresses.values()))
+
+
+def follows(ingress: Ingress) -> str:
+    link = ingress.feed._link
+    return link.peer.ip if link is not None and link.peer is not None else ""
+
+
+async def backend_there(w: Whole) -> Backend:
+    backend = Backend("i-1", good)
+    await backend.start()
+    assert await w.beat(backend) == 200
+    return backend
+
+
+def test_a_registry_out_of_contact_is_left_and_what_was_learnt_stays(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        await backend_there(w)
+        await whole_and_served(w)
+        ingress = w.ingresses[w.edge[0]]
+        before = follows(ingress)
+        cut_off(w, before)
+        await until(lambda: follows(ingress) not in ("", before), 3.0)
+        assert ingress.ready and ingress.serving.contact and ingress.book.entries["i-1"].state == 0
+        await until(lambda: len(ingress.feed._links) == 1, 3.0)
+
+    play(tmp_path, story)
+
+
+def test_with_none_in_contact_the_link_stays_and_a_configuration_waits_for_contact(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        await backend_there(w)
+        await whole_and_served(w)
+        ingress = w.ingresses[w.edge[0]]
+        link = ingress.feed._link
+        for ip in w.core:
+            cut_off(w, ip)
+        await until(lambda: len(ingress.feed._links) == 3, 3.0)  # the others stand by
+        assert ingress.feed._link is link and not ingress.feed._before
+        # word of a newer order, by a registry that has lost the majority: it may never have been kept
+        registry = w.registries[follows(ingress)]
+        registry._carry_out(registry.registry.take_config(Config(9, msgspec.Raw(json.dumps({**CONFIGURATION, "revision": "r9"}).encode()))))
+        await until(lambda: ingress.serving._held is not None, 3.0)
+        assert ingress.reader.table is not None and ingress.reader.table.version == 5 and ingress.ready
+        cut_off(w, follows(ingress), True)
+        await until(lambda: ingress.reader.table.version == 9, 3.0)
+
+    play(tmp_path, story)
+
+
+def test_a_new_life_in_a_cut_off_place_refuses_until_contact_s_is_over(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("espalier.daemon.DOOR_S", 0.05)
+
+    async def story(w: Whole) -> None:
+        await backend_there(w)
+        await whole_and_served(w)
+        for ip in w.core:
+            cut_off(w, ip)
+            for store in w.registries[ip]._stores.values():
+                store.close()
+            cut_off(w, ip)
+        ingress = w.ingresses.pop(w.edge[1])
+        ingress.server.drain_accept_s = ingress.server.drain_most_s = 0.0
+        await ingress.end(5.0)
+        again = await w.start_ingress(w.edge[1])
+        await until(lambda: again.serving._held is not None and "i-1" in again.book.entries)
+        asked = ("GET", "/read/", b"", "Key: key", "Attempt-Id: c1")
+        status, headers, _ = await call(w.http(w.edge[1]), *asked)
+        assert status == 503 and float(headers["retry-after"]) > 0
+        again.serving.began_at -= again.serving.contact_s  # its time is over
+        again._tick_serving()
+        assert (await call(w.http(w.edge[1]), *asked))[0] == 200
+        assert not again.ready
+        cut_off(w, follows(again), True)
+        await until(lambda: again.ready, 3.0)
+
+    play(tmp_path, story)
+
+
+def test_who_stood_still_has_new_links_and_is_ready_once_it_has_heard(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        await backend_there(w)
+        await whole_and_served(w)
+        ingress = w.ingresses[w.edge[0]]
+        await until(lambda: ingress.mesh._links)
+        old = [ingress.feed._link, *ingress.mesh._links]
+        ingress._sampled_at -= 20.0  # as a sample after a freeze finds it
+        ingress._sample()
+        assert not any(link.open for link in old if link is not None) and not ingress.ready
+        await until(lambda: ingress.ready and ingress.mesh._links, 5.0)
+        assert ingress.feed._link not in old and ingress.serving.contact
+
+    play(tmp_path, story)
+
+
+def test_two_bodies_of_one_version_are_mended_by_the_one_in_contact_and_told_apart_before_they_are_read(tmp_path: Path) -> None:
+    async def story(w: Whole) -> None:
+        await backend_there(w)
+        await whole_and_served(w)
+        ingress = w.ingresses[w.edge[0]]
+        ingress.serving.digest = "another"
+        body = msgspec.Raw(json.dumps({**CONFIGURATION, "routes": {**CONFIGURATION["routes"], "rows": CONFIGURATION["routes"]["rows"][:1]}}).encode())
+        digest = digest_of(body)
+        ingress._heard(Config(5, msgspec.Raw(b"not even JSON"), "another"))  # the same: not read at all
+        ingress._heard(Fresh(True, 5, digest))
+        ingress._heard(Config(5, body, digest))
+        assert ingress.reader.table is not None and len(ingress.reader.table.settings.classes) < 3 and ingress.serving.digest == digest
+        ingress._heard(Config(5, msgspec.Raw(json.dumps(CONFIGURATION).encode()), "third"))
+        assert ingress.serving.digest == digest and ingress.ready
+
+    play(tmp_path, story)
