A new life beside a registry out of contact looks at others at once

Ruled out: no wait at all (where the system is founded, the first registry in contact would get everybody).

Change: SOON_S = 0.05 s in place of PATIENCE_S and SETTLE_S until one in contact was followed.

--- a/espalier/following.py
+++ b/espalier/following.py
@@ -31,6 +31,7 @@
 PATIENCE_S = 0.3  # out of contact, until others are looked at
 UNTOLD_S = 1.0  # the same for one that has not said whether it is in contact
 SETTLE_S = 0.2  # in contact, until one is followed in place of another
+SOON_S = 0.05  # in place of both in a life that has followed none in contact yet, and serves nobody
 AGAIN_S = 1.0  # between two tries of an address that is no standby, while the followed one is out of contact
 BETTER_S = 2.0  # between two looks at one that would be nearer
 LOOK_MOST_S = 10.0  # a look takes at most so long, however large the configuration is
@@ -99,6 +100,7 @@
         self._tried: dict[str, float] = {}  # by address: the last try
         self._settled: dict[str, float] = {}  # by address: in contact since
         self._last, self._last_at = 0, -inf  # the last try of all
+        self._new = True  # none in contact was followed yet
         self._since = -inf  # the one that is followed is so
         self._out_since = inf  # and is out of contact
 
@@ -136,6 +138,7 @@
             if not contact and self._out_since == inf:
                 self._tried.clear()  # looks begin with the first in order
             self._out_since = inf if contact else min(self._out_since, now)
+            self._new = self._new and not contact
         way.contact, way.heard_at = contact, now
         return self._decide(now)
 
@@ -197,7 +200,8 @@
             if best is not None:
                 followed = self._follow(now, best, others, steps)
         elif not followed.contact:
-            settled = [w for w in others if w.contact and now - self._settled.get(w.ip, now) >= SETTLE_S]
+            settle = SOON_S if self._new else SETTLE_S
+            settled = [w for w in others if w.contact and now - self._settled.get(w.ip, now) >= settle]
             best = next((w for w in settled if not w.standby), None)
             if best is not None:
                 followed = self._follow(now, best, others, steps)
@@ -238,7 +242,7 @@
             if now - self._since < BETTER_S:
                 return
         else:
-            patience = PATIENCE_S if followed.contact is False else UNTOLD_S
+            patience = UNTOLD_S if followed.contact is None else SOON_S if self._new else PATIENCE_S
             if now - self._out_since < patience:
                 return
             pause = AGAIN_S
@@ -274,6 +278,7 @@
         others.remove(way)
         self.followed, self._since = way.number, now
         self._out_since = inf if way.contact else now
+        self._new = self._new and not way.contact
         steps.append(Follow(way.number))
         if before is not None:
             self._cut(before, others, steps)
--- a/tests/system/test_following.py
+++ b/tests/system/test_following.py
@@ -20,6 +20,7 @@
     OTHERS_MOST,
     PATIENCE_S,
     SETTLE_S,
+    SOON_S,
     STEP_S,
     Act,
     Cut,
@@ -175,6 +176,27 @@
     assert w.place and w.sites[w.place].state == "up"
 
 
+@pytest.mark.parametrize("states", ["uuuu", "uhhu", "uhru"])
+def test_a_new_life_beside_one_out_of_contact_follows_one_in_contact_in_the_stated_time(states: str) -> None:
+    w = world("abcd", states, "nnny")
+    w.run(2 * WAY_S + SOON_S + 2 * STEP_S + 2 * WAY_S + SOON_S + 3 * TICK_S)
+    assert w.place == "4"
+
+
+def test_a_new_life_is_as_patient_as_others_once_it_has_followed_one_in_contact() -> None:
+    w = world("ab")
+    w.run(1.0)
+    w.contact("1", False)
+    w.run(PATIENCE_S - TICK_S)
+    assert len(w.dialled) == 1
+    w = world("ab", contacts="ny")
+    w.run(1.0)
+    assert w.place == "2" and len(w.dialled) == 2
+    w.contact("2", False)
+    w.run(PATIENCE_S - TICK_S)
+    assert len(w.dialled) == 2
+
+
 def test_while_none_is_in_contact_the_one_that_is_followed_stays_and_looks_are_cheap() -> None:
     w = world("abcd", contacts="nnnn")
     w.run(20.0)
