News: 256 messages of a link are kept until it is followed

Cause: a look waits up to 0.2 s for its registry to stay in contact; on a grown site with many changes 64 messages could come by then, and the link would be cut for nothing.

--- a/espalier/news.py
+++ b/espalier/news.py
@@ -22,7 +22,7 @@
 
 REGISTRY = "hedgerow"
 PORT = 0  # of the system's own ports
-BEFORE_MOST = 64  # messages beside a configuration that are kept of a link until it is followed
+BEFORE_MOST = 256  # messages beside a configuration that are kept of a link until it is followed
 FOR_EVER_S = 3600.0
 
 
