--- a/tests/peers/worst_days.py
+++ b/tests/peers/worst_days.py
@@ -258,7 +258,7 @@
 APART_S = (0.0, 0.001, 0.004, 0.012, 0.5, 3.0)
 BETWEEN = (
     "nothing", "the backup's disk waits", "the primary is lost", "the primary crashes", "the primary leaves",
-    "the primary is cut off", "all power is lost", "higher numbers wait",
+    "the primary is cut off", "all power is lost", "higher numbers wait", "the primary was cut off before",
 )
 
 
@@ -284,6 +284,11 @@
                 cluster.machines[ip].hangs_until = cluster.now + random.uniform(0.1, 0.7)
     elif between == "higher numbers wait" and random.random() < 0.5:
         cluster.order(primary, 7, body_of(7), callers[0])
+    elif between == "the primary was cut off before":  # both lie on one disk at most; one is refused, the other lost
+        cluster.cut_off({primary})
+        cluster.order(primary, 5, bodies[0])
+        cluster.run(0.003)
+        cluster.order(primary, 5, bodies[1])
     cluster.order(primary, 5, bodies[0], callers[0])
     if between == "higher numbers wait" and not any(version == 7 for version, _ in cluster.sent):
         cluster.order(primary, 7, body_of(7), callers[0])
--- a/tests/system/test_store_worst_days.py
+++ b/tests/system/test_store_worst_days.py
@@ -192,6 +192,20 @@
     return actions
 
 
+def refuses_a_rival_at_once(replica: Replica) -> None:
+    """While the first body waits, and its fate is unknown."""
+    hear, first = replica.hear, {}
+
+    def heard(now: float, sender: str, message: Any) -> list[Any]:
+        if isinstance(message, Write) and replica.stage is Stage.ACTIVE:
+            body = bytes(message.body)
+            if first.setdefault(message.version, body) != body:
+                return [Send(sender, WriteAck(message.number, False, conflict=True))]
+        return hear(now, sender, message)
+
+    replica.hear = heard  # type: ignore[method-assign]
+
+
 def confirms_at_once(replica: Replica, sender: str, message: Any, actions: list[Any]) -> list[Any]:
     if isinstance(message, Write) and replica.stage is Stage.ACTIVE:
         return [*actions, Send(sender, WriteAck(message.number, True))]
@@ -277,6 +291,7 @@
     ("the newest sent again is not confirmed", "away", answers(refuses_what_it_has)),
     ("a lower number is not confirmed", "away", answers(refuses_lower)),
     ("refused, and in force", "race", each_word(refuses_and_keeps)),
+    ("refused, and in force", "rivals", refuses_a_rival_at_once),
     ("confirmed, and not in force", "race", each_word(confirms_at_once)),
     ("confirmed out of contact", "contact", each_word(confirms_what_it_holds)),
     ("told out of contact", "contact", each_word(reads_its_disk)),
