--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -39,6 +39,7 @@
 HERE = "here"  # a caller that reaches every machine and never dies
 LINK_SILENT_S = 1.2  # of one direction, until the connection ends: furrow.link.SILENT_S, and its beat
 PASSING = (Status, Probe, ProbeAck)  # go between the parts of large messages, as on furrow.link
+PAUSES_S = 0.05, 0.5  # between two tries to connect, as furrow.link.Dialer makes them
 OVERHEAD = 300  # bytes of a message beside its body
 
 
@@ -69,6 +70,7 @@
     """One core machine: its disk outlives its process."""
 
     ip: str
+    seeds: list[str]
     disk: Kept | None = None
     replica: Replica | None = None
     life: int = 0
@@ -80,6 +82,10 @@
     out_since: float = -1.0  # without contact to a majority; below 0: in contact
     claimed_at: float = -1.0  # when it said last, out of contact, that it leads, or confirmed or told something
     ended: dict[int, float] = field(default_factory=dict)  # when each life ended
+    dials: dict[str, None] = field(default_factory=dict)  # whom it keeps a connection to
+    links: dict[str, int] = field(default_factory=dict)  # those that are up: to which life
+    cut_seen: dict[str, float] = field(default_factory=dict)  # since when one of its connections hears nothing
+    dials_at: dict[str, float] = field(default_factory=dict)  # the next try, after one that failed
 
 
 @dataclass
@@ -114,16 +120,22 @@
     collects = False  # what is broken, rather than to raise at the first
 
     def __init__(
-        self, seed: int, machines: int = 3, seeds: int = 3, apart: bool = False, lost_at_once: int = 1
+        self, seed: int, machines: int = 3, seeds: int = 3, apart: bool = False, lost_at_once: int = 1,
+        dialled: bool = False,
     ) -> None:
-        """lost_at_once: so many machines may be, as faultTolerance.machines says."""
-        self.apart, self.lost_at_once = apart, lost_at_once
+        """lost_at_once: so many machines may be, as faultTolerance.machines says.
+
+        dialled: machines know each other as rootstock/daemon.py does, by their seeds, by who has called them and by
+        whom the newest record names; else each knows all.
+        """
+        self.apart, self.lost_at_once, self.dialled = apart, lost_at_once, dialled
         self.random = Random(seed)
         self.now = 0.0
         names = [f"10.0.0.{n}" for n in range(1, machines + 1)]
         self.seeds = names[:seeds]
-        self.machines = {ip: Machine(ip) for ip in names}
+        self.machines = {ip: Machine(ip, self.seeds) for ip in names}
         self.cut: dict[tuple[str, str], bool] = {}  # one way
+        self.latency = 0.001, 0.01  # seconds on a way, least and most
         self.bandwidth = 0.0  # bytes a second of each way; 0: not bounded
         self.body_bytes = 0  # that a configuration is taken to have
         self.links_end = False  # a way that is cut in one direction ends its connections, so the other one too
@@ -162,24 +174,53 @@
         machine.life += 1
         machine.in_force = 0
         machine.replica = make_replica(
-            ip, self.seeds, machine.disk, first, self.now, self.apart, machine.life, self.lost_at_once
+            ip, machine.seeds, machine.disk, first, self.now, self.apart, machine.life, self.lost_at_once
         )
         machine.replica._copies.size = lambda body: self.body_bytes or len(body)  # type: ignore[method-assign]
-        for other in self.machines:
+        machine.dials = dict.fromkeys(s for s in machine.seeds if s != ip)
+        machine.links, machine.cut_seen, machine.dials_at = {}, {}, {}
+        for other in machine.dials if self.dialled else self.machines:
             machine.replica.meet(other)
         self._later(self.now + self.random.uniform(0.0, 0.3), ip, ("tick", machine.life))
         self._do(machine, machine.replica.take())
+        if self.dialled:
+            return
         for other in self.machines.values():
             if other.replica is not None and other is not machine:
                 self._later(self.now + 0.05, other.ip, ("linked", other.life, ip))
 
     def add(self) -> str:
-        """A machine that was never there, with an empty disk; gives its address."""
+        """A machine that was never there, with an empty disk and seeds that are there now; gives its address."""
         ip = f"10.0.0.{len(self.machines) + 1}"
-        self.machines[ip] = Machine(ip)
+        up = [other for other in self.machines if self.up(other)]
+        self.machines[ip] = Machine(ip, self.random.sample(up, min(3, len(up))))
         self.start(ip)
         return ip
 
+    def _dial(self, machine: Machine, replica: Replica) -> None:
+        """Connections come up and end: to those that are there, and theirs back."""
+        for ip in replica.core:
+            if ip != machine.ip and ip in self.machines and ip not in machine.dials:
+                machine.dials[ip] = None
+                replica.meet(ip)
+        for ip in list(machine.dials):
+            other = self.machines[ip]
+            if other.replica is None:
+                machine.links.pop(ip, None)
+            elif self.cut.get((machine.ip, ip)) or self.cut.get((ip, machine.ip)):
+                if self.now - machine.cut_seen.setdefault(ip, self.now) > LINK_SILENT_S:
+                    machine.links.pop(ip, None)
+            elif self.now >= machine.dials_at.get(ip, 0.0):
+                machine.cut_seen.pop(ip, None)
+                if machine.links.get(ip) != other.life:
+                    machine.links[ip] = other.life
+                    self._later(self.now + 0.005, machine.ip, ("linked", machine.life, ip))
+                    if machine.ip not in other.dials:
+                        other.dials[machine.ip] = None
+                        other.replica.meet(machine.ip)
+            if ip not in machine.links and self.now >= machine.dials_at.get(ip, 0.0):
+                machine.dials_at[ip] = self.now + self.random.uniform(*PAUSES_S)
+
     def kill(self, ip: str) -> None:
         machine = self.machines[ip]
         if machine.replica is not None:
@@ -212,20 +253,21 @@
     def cut_off(self, group: Collection[str], how: str = "cut") -> None:
         """Cut these from all others: both ways, only what they say (out), or only what they hear (in).
 
-        Out of contact is the side that lacks a majority of the voters that the primary names; both may.
+        Out of contact is the side that lacks a majority of the voters whom the newest record names, and of those
+        before; both may be.
         """
         for one in self.machines:
             for other in self.machines:
                 if one in group and other not in group:
                     self.cut[one, other] = how in ("cut", "out")
                     self.cut[other, one] = how in ("cut", "in")
-        primary = self.primary
-        replica = self.machines[primary].replica if primary is not None else None
-        voters = replica.voters if replica is not None else self.seeds
-        inside = sum(v in group for v in voters)
+        records = [m.disk.record for m in self.machines.values() if m.disk is not None and m.disk.record is not None]
+        newest = max(records, key=lambda record: record.epoch, default=None)
+        lists = [newest.voters, newest.before] if newest is not None and newest.voters else [self.seeds]
         for ip, machine in self.machines.items():
-            with_it = inside if ip in group else len(voters) - inside
-            if with_it <= len(voters) // 2 and machine.out_since < 0:
+            side = [other for other in self.machines if (other in group) == (ip in group)]
+            majority = any(sum(v in side for v in voters) > len(voters) // 2 for voters in lists)
+            if not majority and machine.out_since < 0:
                 machine.out_since, machine.claimed_at = self.now, -1.0
 
     def join(self) -> None:
@@ -315,6 +357,8 @@
             return
         if what[0] == "tick":
             self._later(self.now + TICK_S, machine.ip, ("tick", machine.life))
+            if self.dialled:
+                self._dial(machine, replica)
             self._do(machine, replica.tick(self.now))
         elif what[0] == "linked":
             self._do(machine, replica.linked(self.now, what[2]))
@@ -354,9 +398,11 @@
             return
         if to not in self.machines or not self._open(machine.ip, to):
             return
+        if self.dialled and machine.links.get(to) != self.machines[to].life:
+            return
         other = self.machines[to]
         lane = machine.ip, to, isinstance(message, PASSING)
-        at = max(leaves_at + self.random.uniform(0.001, 0.01), self._way_free.get(lane, 0.0))
+        at = max(leaves_at + self.random.uniform(*self.latency), self._way_free.get(lane, 0.0))
         if self.bandwidth:
             at += (OVERHEAD + (self.body_bytes if getattr(message, "body", NOTHING) != NOTHING else 0)) / self.bandwidth
         self._way_free[lane] = at
--- a/tests/peers/planted.py
+++ b/tests/peers/planted.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import pytest
 
 from rootstock.contact import Contact
@@ -17,19 +15,6 @@
     patch.setattr(State, "member", lambda self, record: self.me in record.copies)
 
 
-def alone(patch: pytest.MonkeyPatch) -> None:
-    """A confirmation that does not wait for the backup."""
-
-    def at_once(self: Any) -> None:
-        batch = self._orders.batch()
-        if batch is not None:
-            self._copies.replicate(*batch)
-            self._copies.waits.clear()
-            self._orders.kept()
-
-    patch.setattr(Replica, "_replicate", at_once)
-
-
 def old_voters(patch: pytest.MonkeyPatch) -> None:
     """A new list of voters counts without those who voted before."""
     lists = State.lists
--- a/tests/system/test_store_exhaustive.py
+++ b/tests/system/test_store_exhaustive.py
@@ -14,7 +14,6 @@
 from typing import Any
 
 import msgspec
-import planted
 import pytest
 from cluster import make_replica
 
@@ -268,9 +267,26 @@
     assert search(depth, 400_000, PLAYS[play]) > least
 
 
+class Hasty(Replica):
+    """A planted fault: an order is in force, and acknowledged, before the backup has it."""
+
+    def hear(self, now: float, sender: str, message: Any) -> list[Any]:
+        newer = isinstance(message, Write) and self.stage is Stage.ACTIVE and message.version > self.status.version
+        actions = super().hear(now, sender, message)
+        if newer:
+            actions += [InForce(message.version, bytes(message.body)), Send(sender, WriteAck(message.number, True))]
+        return actions
+
+
 def test_the_search_finds_an_acknowledgement_without_the_backup(monkeypatch: pytest.MonkeyPatch) -> None:
-    planted.alone(monkeypatch)
-    with pytest.raises(AssertionError):
+    start = World.start
+
+    def hasty(self: World, ip: str, first: bool = False) -> None:
+        start(self, ip, first)
+        self.replicas[ip].__class__ = Hasty
+
+    monkeypatch.setattr(World, "start", hasty)
+    with pytest.raises(AssertionError, match="was acknowledged"):
         search(4, 50_000, PLAYS["a change and a loss"])
 
 
--- a/tests/system/test_store_worst_days.py
+++ b/tests/system/test_store_worst_days.py
@@ -16,7 +16,11 @@
 import pytest
 import worst_days
 from cluster import Cluster
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
 from test_store_exhaustive import PLAYS, search
+from test_store_machine import Store
 from worst_days import BETWEEN, KINDS, must_confirm, rivals, second_loss, sizes, slow
 
 from furrow.messages import Read, ReadAck, ReplicateAck, Status, Write, WriteAck
@@ -123,6 +127,23 @@
     assert search(4, 400_000, PLAYS[play]) > 50
 
 
+class Rivals(Store):
+    """The state machine with second bodies under numbers that were sent."""
+
+    @rule(back=st.integers(0, 2), which=st.integers(0, 2), wait=st.sampled_from([0.0, 0.004, 0.3]))
+    def rival(self, back: int, which: int, wait: float) -> None:
+        version = max(1, self.version - back)
+        to = self.cluster.primary or next(iter(self.cluster.machines))
+        self.cluster.order(to, version, worst_days.body_of(version), self.callers[which])
+        self.cluster.run(wait)
+
+
+TestRivals = Rivals.TestCase
+TestRivals.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True, phases=[Phase.generate]
+)
+
+
 # ---- each invariant fails on a planted fault
 
 Spoil = Callable[[Replica], None]
@@ -172,6 +193,20 @@
     return actions
 
 
+def refuses_a_rival_at_once(replica: Replica) -> None:
+    """While the first body waits, and its fate is unknown."""
+    hear, first = replica.hear, {}
+
+    def heard(now: float, sender: str, message: Any) -> list[Any]:
+        if isinstance(message, Write) and replica.stage is Stage.ACTIVE:
+            body = bytes(message.body)
+            if first.setdefault(message.version, body) != body:
+                return [Send(sender, WriteAck(message.number, False, conflict=True))]
+        return hear(now, sender, message)
+
+    replica.hear = heard  # type: ignore[method-assign]
+
+
 def confirms_at_once(replica: Replica, sender: str, message: Any, actions: list[Any]) -> list[Any]:
     if isinstance(message, Write) and replica.stage is Stage.ACTIVE:
         return [*actions, Send(sender, WriteAck(message.number, True))]
@@ -273,6 +308,7 @@
     ("the newest sent again is not confirmed", "away", answers(refuses_what_it_has)),
     ("a lower number is not confirmed", "away", each_word(refuses_lower)),
     ("refused, and in force", "race", each_word(refuses_and_keeps)),
+    ("refused, and in force", "rivals", refuses_a_rival_at_once),
     ("confirmed, and not in force", "race", each_word(confirms_at_once)),
     ("confirmed out of contact", "contact", each_word(confirms_what_it_holds)),
     ("told out of contact", "contact", each_word(reads_its_disk)),
