--- a/furrow/netstring.py
+++ b/furrow/netstring.py
@@ -1,19 +1,26 @@
-"""Netstrings of JSON: `12:{"t":"ping"},` (no I/O).
+"""Netstrings of JSON: `12:{"t":"ping"},`, and long payloads in parts (no I/O).
 
-A frame is the decimal length of its payload, a colon, the payload and a comma. What can't be a frame raises
-FrameError, and the connection that brought it is of no more use: where the next frame begins can't be told.
+A frame is the decimal length of its payload, a colon, the payload and a comma. A payload of more than PART
+bytes goes as several frames, each `+OFFSET/TOTAL:` and the next bytes of it: `21:+65536/65540:last,` is the
+end of one of 65540 bytes. Other frames may stand between two parts, parts of another payload may not: one is
+whole, or its connection has ended, before the next begins. What can't be a frame or a next part raises
+FrameError, and the connection that brought it is of no more use: where the next begins can't be told.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
 
-MAX_FRAME = 80 * 1024 * 1024  # bytes of a payload: the longest configuration (64 MiB) and what is round it
-_MOST_DIGITS = len(str(MAX_FRAME))
+PART = 64 * 1024  # bytes of a payload that go in one frame; at 100 Mbit/s such a frame takes 5 ms
+MAX_PAYLOAD = 80 * 1024 * 1024  # bytes of a payload: the longest configuration (64 MiB) and what is round it
+MAX_FRAME = PART + 32  # bytes of a frame's payload: a part and its head
+_MOST_DIGITS = len(str(MAX_PAYLOAD))
+_MOST_HEAD = 2 * _MOST_DIGITS + 3  # bytes of +OFFSET/TOTAL:
 
 
 class FrameError(ValueError):
-    """The peer sent what is no netstring, or one past the bound."""
+    """The peer sent what is no netstring or no next part, or one past the bound."""
 
 
 def frame(payload: bytes) -> bytes:
@@ -21,6 +28,13 @@
     return b"%d:%b," % (len(payload), payload)
 
 
+def _number(digits: bytes) -> int:
+    """A decimal number in its one spelling; -1 for what is none."""
+    if not digits.isdigit() or len(digits) > _MOST_DIGITS or (digits[:1] == b"0" and digits != b"0"):
+        return -1
+    return int(digits)
+
+
 class Deframer:
     """Feed it what a connection brings; it gives the payloads that are whole. most: bytes of one payload."""
 
@@ -46,11 +60,11 @@
                         raise FrameError("a frame without a length")
                     return
                 digits = bytes(buffer[:colon])
-                if not digits.isdigit() or (digits[:1] == b"0" and digits != b"0"):
+                if (length := _number(digits)) < 0:
                     raise FrameError(f"{digits[:20]!r} is no length of a frame")
-                if int(digits) > self.most:
-                    raise FrameError(f"a frame of {digits.decode()} bytes, {self.most} at most")
-                self._need = colon + 1 + int(digits) + 1
+                if length > self.most:
+                    raise FrameError(f"a frame of {length} bytes, {self.most} at most")
+                self._need = colon + 1 + length + 1
             if len(buffer) < self._need:
                 return
             if buffer[self._need - 1] != 0x2C:
@@ -59,3 +73,106 @@
             del buffer[: self._need]
             self._need = 0
             yield payload
+
+
+class Assembler:
+    """Puts the parts of long payloads together. most: bytes of one payload.
+
+    It never holds more than has come, whatever a head announces, and never more than `most`.
+    """
+
+    __slots__ = ("_parts", "_total", "have", "most")
+
+    def __init__(self, most: int = MAX_PAYLOAD) -> None:
+        self.most = most
+        self.have = 0  # bytes of the payload that is coming
+        self._total = 0  # all of them; 0: none is coming
+        self._parts: list[bytes] = []
+
+    @property
+    def half(self) -> bool:
+        """A payload has begun and is not whole."""
+        return self._total > 0
+
+    def take(self, payload: bytes) -> bytes | None:
+        """The whole payload that this frame's ends, one that is no part as it is; None: more is to come.
+
+        FrameError for a part out of order, past its end or of a payload past the bound; all is let go then.
+        """
+        if payload[:1] != b"+":
+            return payload
+        try:
+            return self._part(payload)
+        except FrameError:
+            self.clear()
+            raise
+
+    def _part(self, payload: bytes) -> bytes | None:
+        head, colon, _ = payload[:_MOST_HEAD].partition(b":")
+        at, slash, end = head[1:].partition(b"/")
+        offset, total = _number(at), _number(end)
+        if not colon or not slash or offset < 0 or total < 0:
+            raise FrameError(f"{head[:24]!r} is no head of a part")
+        if total > self.most:
+            raise FrameError(f"a message of {total} bytes in parts, {self.most} at most")
+        if offset != self.have or (self._total and total != self._total):
+            come = f"{self.have} of {self._total} have come"
+            raise FrameError(f"a part at {offset} of {total} bytes, where {come}")
+        size = len(payload) - len(head) - 1
+        if not size or offset + size > total:
+            raise FrameError(f"a part of {size} bytes at {offset} of {total}")
+        self._parts.append(payload[len(head) + 1 :])
+        self._total = total
+        self.have += size
+        if self.have < total:
+            return None
+        whole = b"".join(self._parts)
+        self.clear()
+        return whole
+
+    def clear(self) -> None:
+        """Let half a payload go."""
+        self._parts.clear()
+        self.have = self._total = 0
+
+
+class Outbox:
+    """Payloads that wait for a connection, in their order; frames of them, one by one. size: bytes left."""
+
+    __slots__ = ("_at", "_waits", "size")
+
+    def __init__(self) -> None:
+        self._waits: deque[bytes] = deque()
+        self._at = 0  # bytes of the first that have been given out
+        self.size = 0
+
+    def put(self, payload: bytes) -> None:
+        """Behind what waits. The bytes are kept as they are, not copied: one payload may wait in several."""
+        self._waits.append(payload)
+        self.size += len(payload)
+
+    def take(self) -> bytes | None:
+        """The next frame; None: nothing waits."""
+        if not self._waits:
+            return None
+        payload, at = self._waits[0], self._at
+        total = len(payload)
+        if total <= PART:
+            self._waits.popleft()
+            self.size -= total
+            return frame(payload)
+        end = min(at + PART, total)
+        head = b"+%d/%d:" % (at, total)
+        self.size -= end - at
+        if end == total:
+            self._waits.popleft()
+            self._at = 0
+        else:
+            self._at = end
+        part = memoryview(payload)[at:end]
+        return b"".join((b"%d:" % (len(head) + end - at), head, part, b","))
+
+    def clear(self) -> None:
+        """Let all go."""
+        self._waits.clear()
+        self._at = self.size = 0
