--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -99,6 +99,7 @@
     voters: tuple[str, ...] = ()
     blank: bool = True
     given: int = 0
+    taken: tuple[tuple[int, str], ...] = ()
 
 
 @dataclass(slots=True)
