--- a/benchmarks/control_times.py
+++ b/benchmarks/control_times.py
@@ -32,18 +32,23 @@
         for how in ("killed", "cut", "left", "wiped and back", "frozen")
     ],
     *[("return", how) for how in ("killed", "wiped", "new", "after 200 changes")],
-    *[("removed", how) for how in ("left, one spare", "left, then one is added", "killed, one spare")],
+    ("removed", "left, one spare"),
+    ("removed", "left, soon after the start"),
+    ("removed", "left, then one is added"),
+    ("removed", "killed, one spare"),
 ]
 
 
-def begun(seed: int, machines: int, body_bytes: int, mbits: float) -> tuple[Cluster, str, str]:
+def begun(
+    seed: int, machines: int, body_bytes: int, mbits: float, early: bool = False
+) -> tuple[Cluster, str, str]:
     """A cluster that has kept a change; its primary, and the machine that holds the other copy."""
     cluster = Cluster(seed, machines, dialled=True)
     cluster.links_end = True
     cluster.body_bytes, cluster.bandwidth = body_bytes, mbits * 1e6 / 8
-    cluster.run(4.0 + seed % 7 * 0.1)
+    cluster.run((1.0 if early else 4.0) + seed % 7 * 0.1)
     until_confirmed(cluster, MOST_S)
-    cluster.run(2.0 + seed % 13 * 0.025)
+    cluster.run((0.5 if early else 2.0) + seed % 13 * 0.025)
     primary = cluster.primary or "10.0.0.1"
     others = [ip for ip in cluster.machines if ip != primary]
     copies = [ip for ip in others if (disk := cluster.machines[ip].disk) is not None and disk.version]
@@ -123,7 +128,8 @@
 
 
 def removed(how: str, seed: int, body_bytes: int, mbits: float) -> float:
-    cluster, primary, other = begun(seed, 3 if how.endswith("added") else 4, body_bytes, mbits)
+    machines = 3 if how.endswith("added") else 4
+    cluster, primary, other = begun(seed, machines, body_bytes, mbits, how.endswith("start"))
     replica = cluster.machines[primary].replica
     lost = Random(seed).choice(replica.voters if replica is not None else [primary, other])
     began = cluster.now
