--- a/rootstock/copies.py
+++ b/rootstock/copies.py
@@ -26,6 +26,7 @@
         self.backups: list[str] = []
         self.waits: dict[str, None] = {}  # backups that have not answered for the batch that was sent last
         self._number = 0
+        self._sent: Replicate | None = None  # the batch that was sent last; none: a snapshot was
         self._since = state.now
         self._allowed_s = REPLICATE_S
 
@@ -46,7 +47,7 @@
 
     def recruit(self, backups: list[str]) -> None:
         """Give these machines all that is here; they are the backups from now on."""
-        self.backups = list(backups)
+        self.backups, self._sent = list(backups), None
         self._begin(backups, self._state.kept.body)
         for backup in backups:
             self._snapshot(backup, self._has(backup))
@@ -77,13 +78,20 @@
         self._begin(self.backups, body if rises else b"")
         digest = dict(taken).get(version, "")
         sent = raw(body) if rises else NOTHING
+        self._sent = Replicate(state.epoch, version, sent, False, digest, taken, self._number, state.life)
         for backup in self.backups:
-            state.send(
-                backup, Replicate(state.epoch, version, sent, False, digest, taken, self._number, state.life)
-            )
+            state.send(backup, self._sent)
         changes: dict[str, object] = {"version": version, "body": body} if rises else {}
         state.save(taken=ledger(state.kept.taken, taken), **changes)
 
+    def again(self, peer: str) -> None:
+        """A new way to that machine: what it has not answered may be lost with the one before."""
+        if peer in self.waits:
+            if self._sent is not None:
+                self._state.send(peer, self._sent)
+            else:
+                self._snapshot(peer, False)
+
     def hear(self, sender: str, answer: ReplicateAck) -> bool:
         """A backup has it, or lacks the body; false: it is no answer to what was sent last."""
         state = self._state
--- a/rootstock/members.py
+++ b/rootstock/members.py
@@ -75,7 +75,7 @@
             shares = any(state.near(peer, other) for other in stands)
             known = state.peers[peer].status
             blank = known is None or known.blank
-            return state.bounds.apart and shares, peer not in former, peer not in voters, blank, shares, peer
+            return state.bounds.apart and shares, blank, peer not in former, peer not in voters, shares, peer
 
         chosen.append(min(free, key=worth))
         free.remove(chosen[-1])
--- a/rootstock/replica.py
+++ b/rootstock/replica.py
@@ -259,6 +259,8 @@
         self._state.send(peer, self.status)
         if self.stage in (Stage.ASKS, Stage.SEALS):
             self._ask_again()
+        elif self.stage is not Stage.IDLE:
+            self._copies.again(peer)
         return self.take()
 
     def meet(self, peer: str, place: str = "") -> None:
