Registry: drains and leavings are acknowledged when synced here and at others that count

Cause: a drain was confirmed by any one other registry, in memory; two that were cut off together, or two in one place, confirmed each other; all power lost at once kept what a background thread had written by then. deregister of an id that this registry did not know was acknowledged out of hand, and a draining that came again with the same callCount was acknowledged without a second machine. Gone ids lay on no disk, so a peer's READY of before brought them back. Ruled out: losing word between two linked registries (order and TCP hold).

Change: saves go one batch at a time beside the loop (take_save, saved), a call waits for its own sync and for InstancesAck of registries in contact, of as many places as faultTolerance names and that are not lost longer than contactS; the peer acknowledges after its own sync. Unknown ids become tombstones, kept on disk for 300 s and 8,192 at most. Whoever says less than is known is told the rest. Answers of the store and of registries are taken by life, number and link only; others are counted. A call whose link ends fails at once. Configurations are a number and a digest (409, take_config). Contact is told in status, log, to ingresses and registries.

--- a/hedgerow/calls.py
+++ b/hedgerow/calls.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -13,11 +14,13 @@
 from almanac.settings import Setting, SettingsError, Table, address, number, one_of, or_none, text, whole
 from furrow.calls import Call, Reply
 from furrow.messages import DRAINING, GONE, READY, Instance
+from pollen.instances import tombstone
 
 MAX_BEAT = 4096  # bytes of a backend's call
 LONG = 256 * 1024  # bytes of a configuration that is read beside the loop: it takes some tenths of a second
 _STATES = {"available": READY, "draining": DRAINING}
 _ID = re.compile(r"[\x21-\x2e\x30-\x7e]{1,128}")
+MOST = 1 << 53  # of whole numbers on the wire
 
 BEAT = Table(
     Setting("service", text, about="whose backend it is"),
@@ -35,19 +38,37 @@
     return Reply(status, msgspec.json.encode({"error": why}))
 
 
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Why a call was not done; version, digest: of what is held in the way of a 409."""
+
+    status: int
+    why: str
+    version: int = 0
+    digest: str = ""
+
+    @property
+    def reply(self) -> Reply:
+        """The answer that says so."""
+        if self.status != 409:
+            return refusal(self.status, self.why)
+        held = {"revision": f"r{self.version}", "digest": self.digest}
+        return Reply(409, msgspec.json.encode({"error": self.why, "held": held}))
+
+
 class Registry(Protocol):
     """What the calls need of the registry."""
 
-    async def beat(self, instance: Instance, count: int) -> str | None:
-        """A backend's call is known, what must last at a second machine too; None if it is not.
+    async def beat(self, instance: Instance, count: int) -> str | Failed:
+        """A backend's call is known, and what must last is synced wherever it has to be.
 
         Gives where later calls are better made, or nothing.
         """
 
-    async def put(self, version: int, body: bytes) -> str | None:
+    async def put(self, version: int, body: bytes) -> Failed | None:
         """Keep a configuration; None once it is kept, else why it is not."""
 
-    async def newest(self) -> tuple[int, bytes] | str:
+    async def newest(self) -> tuple[int, bytes] | Failed:
         """The newest configuration that is in force, or why it can't be told here."""
 
 
@@ -64,7 +85,10 @@
         try:
             found = BEAT.read(msgspec.json.decode(body))
         except (msgspec.MsgspecError, UnicodeDecodeError, SettingsError) as error:
-            return refusal(400, str(error))
+            return refusal(400, f"body: {error}")
+        for name in ("capacity", "callCount", "warmupLeftS"):
+            if (found[name] or 0) > MOST:
+                return refusal(400, f"body: {name}: {found[name]!r:.40} is above {MOST}")
         instance = Instance(
             id,
             found["service"],
@@ -75,18 +99,16 @@
             float(found["warmupLeftS"] or 0),
         )
         target = await self._registry.beat(instance, found["callCount"])
-        if target is None:
-            return refusal(503, "no second machine knows it")
+        if isinstance(target, Failed):
+            return target.reply
         return Reply(200, msgspec.json.encode({"heartbeatTarget": target} if target else {}))
 
     async def deregister(self, id: str, body: bytes) -> Reply:
-        """Gone for good; one that was never heard of is gone as well."""
+        """Gone for good, also one that was never heard of here: others may know it, or hear of it late."""
         known = self._known(id)
-        if known is not None:
-            gone = msgspec.structs.replace(known, state=GONE, warm_s=0.0)
-            if await self._registry.beat(gone, -1) is None:
-                return refusal(503, "no second machine knows it")
-        return Reply(200)
+        gone = msgspec.structs.replace(known, state=GONE, warm_s=0.0) if known is not None else tombstone(id)
+        found = await self._registry.beat(gone, -1)
+        return found.reply if isinstance(found, Failed) else Reply(200)
 
 
 class ConfigurationCalls:
@@ -96,21 +118,24 @@
         self._registry = registry
 
     async def replace(self, body: bytes) -> Reply:
-        """A complete configuration; acknowledged once two disks have it, or one that is as new."""
+        """A complete configuration; acknowledged once two disks have it, or a higher one.
+
+        409 where its number is taken by another body; what is held is told.
+        """
         if len(body) > LONG:
             found = await asyncio.to_thread(read_configuration, body)
         else:
             found = read_configuration(body)
         if isinstance(found, Refused):
             return refusal(400, str(found))
-        why = await self._registry.put(found.version, body)
-        return Reply(200) if why is None else refusal(503, why)
+        failed = await self._registry.put(found.version, body)
+        return Reply(200) if failed is None else failed.reply
 
     async def describe(self) -> Reply:
         """The newest, as it was sent."""
         found = await self._registry.newest()
-        if isinstance(found, str):
-            return refusal(503, found)
+        if isinstance(found, Failed):
+            return found.reply
         return Reply(200, found[1]) if found[0] else refusal(404, "no configuration yet")
 
 
@@ -136,13 +161,15 @@
     async def handle(self, call: Call) -> Reply:
         """Answer one call."""
         parts = call.path.decode("latin-1").split("/")[1:]
-        if len(parts) == 3 and parts[0] == "instances" and _ID.fullmatch(parts[1]):
+        if len(parts) == 3 and parts[0] == "instances" and parts[2] in ("heartbeat", "deregister"):
+            if not _ID.fullmatch(parts[1]):
+                return refusal(400, f"id: {parts[1]!r:.40} is not 1 to 128 printable characters")
             does: dict[str, Callable[[str, bytes], Awaitable[Reply]]] = {
                 "heartbeat": self._instances.heartbeat,
                 "deregister": self._instances.deregister,
             }
-            if (handler := does.get(parts[2])) is not None:
-                return await handler(parts[1], call.body) if call.method == b"POST" else refusal(405, "POST")
+            handler = does[parts[2]]
+            return await handler(parts[1], call.body) if call.method == b"POST" else refusal(405, "POST")
         if parts == ["configuration", "replace"]:
             return (
                 await self._configuration.replace(call.body)
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -12,10 +12,23 @@
 from almanac.configuration import longest
 from furrow.calls import CallServer
 from furrow.link import Address, Dialer, Link, Listener
-from furrow.messages import Config, WriteAck, Fresh, Hello, Instance, Member, Message, Write, Read, ReadAck
-from hedgerow.calls import ConfigurationCalls, InstanceCalls, Outside, SystemCalls
+from furrow.messages import (
+    READY,
+    Config,
+    Fresh,
+    Hello,
+    Instance,
+    Member,
+    Message,
+    Read,
+    ReadAck,
+    Write,
+    WriteAck,
+    digest_of,
+)
+from hedgerow.calls import ConfigurationCalls, Failed, InstanceCalls, Outside, SystemCalls
 from hedgerow.disk import Memory
-from hedgerow.registry import Action, Confirmed, Registry, Tell
+from hedgerow.registry import Action, Borne, Confirmed, Log, Registry
 
 log = logbook.Logger("hedgerow")
 
@@ -24,6 +37,16 @@
 TICK_S = 0.1
 HELD = 4  # of the longest configuration: bytes of all bodies that are not answered
 CALL_S = 0.9  # for the store's answer: callers go elsewhere after a second of silence
+DISK_S = 1.0  # at the start, for the disk to be read; a slower one is merged once it is
+REOPEN_S = 0.5  # between two tries of a disk that can't be read
+AROUND = b" \t\r\n"  # what may stand around a JSON body: no part of it, and lost on the wire
+
+
+class _Call:
+    """One call to the store: its answer comes on the link that it went out on, and in no other life."""
+
+    def __init__(self, link: Link, answer: asyncio.Future[WriteAck | ReadAck | None]) -> None:
+        self.link, self.answer = link, answer
 
 
 class Daemon:
@@ -33,12 +56,29 @@
         self._boot = boot
         self._loop = asyncio.get_running_loop()
         self._hello = Hello(ROLE, boot.name, boot.ip, boot.zone, life)
-        self.registry = Registry(self._loop.time(), boot.values["heartbeatS"])
+        values = boot.values
+        borne = Borne(
+            values["faultTolerance.machines"],
+            values["faultTolerance.zones"],
+            values["faultTolerance.regions"],
+            values["zones"],
+        )
+        self.registry = Registry(
+            self._loop.time(),
+            values["heartbeatS"],
+            life,
+            boot.zone,
+            [host for host, _ in boot.seeds if host != boot.ip],
+            borne,
+            values["bounds.contactS"],
+        )
         self._registries: dict[str, Dialer] = {}
         self._stores: dict[str, Dialer] = {}
-        self._fresh: dict[Link, int] = {}  # links to primaries, and the version each has told
-        self._calls: dict[int, asyncio.Future[WriteAck | ReadAck]] = {}
-        self._confirms: dict[int, asyncio.Future[bool]] = {}
+        self._fresh: dict[Link, Fresh] = {}  # links to primaries, and what each has told last
+        self._contested: dict[Link, Config] = {}  # a store's, of the number held and with another body
+        self._calls: dict[int, _Call] = {}
+        self._dropped = 0  # answers of the store that belonged to no call
+        self._confirms: dict[int, asyncio.Future[Confirmed]] = {}
         self._last = 0
         self._listener = Listener(lambda: Link(self._hello, self._heard, self._up, self._down))
         instances = InstanceCalls(self, self._known)
@@ -48,16 +88,14 @@
         self._control_port = 0
         self._timer: asyncio.TimerHandle | None = None
         self._memory = Memory(boot.data)
-        self._writer: concurrent.futures.ThreadPoolExecutor | None = None
-        self._written: asyncio.Future[bool] | None = None
+        # what waits for the disk does so beside the loop, one thing at a time
+        self._writer = concurrent.futures.ThreadPoolExecutor(1)
+        self._read = False  # the disk: nothing is saved before
+        self._closed = False
 
     async def start(self, control: Address, inner: Address) -> tuple[Address, Address]:
         """Open both doors; gives their addresses."""
-        now = self._loop.time()
-        if remembered := self._memory.open():
-            self.registry.book.hear(now, remembered)
-            log.info("Remembers {} backends.", len(remembered))
-        self.registry.book.changed.clear()
+        await asyncio.wait([self._remind()], timeout=DISK_S)
         bound = await self._listener.listen(inner)
         for host, _ in self._boot.seeds:
             self._meet(host)
@@ -104,54 +142,113 @@
         self._carry_out(self.registry.hear(self._loop.time(), link, message))
 
     def _store_down(self, link: Link) -> None:
-        self._fresh.pop(link, None)
-        self._carry_out(self.registry.primary(bool(self._fresh)))
+        """That store's link has ended, or it is not the primary any more: its calls fail at once."""
+        if not link.open:
+            self._contested.pop(link, None)
+        for call in self._calls.values():
+            if call.link is link and not call.answer.done():
+                call.answer.set_result(None)
+        if self._fresh.pop(link, None) is not None:
+            self._told_contact()
+
+    def _told_contact(self) -> None:
+        primary = self._primary()
+        had = self.registry.contact
+        told = self._fresh[primary] if primary is not None else None
+        self._carry_out(self.registry.primary(self._loop.time(), told))
+        if primary is None and had:
+            log.warning("Out of contact: no store that is linked leads with a majority.")
+        elif primary is not None and primary.peer is not None and not had:
+            log.info("In contact: {} leads.", primary.peer.name)
 
     def _store_says(self, link: Link, message: Message) -> None:
         match message:
-            case Fresh(True, version):
+            case Fresh(True):
                 self._fresh.pop(link, None)
-                self._fresh[link] = version  # who said so last is the primary
-                self._carry_out(self.registry.primary(True))
+                self._fresh[link] = message  # who said so last is the primary
+                if (contested := self._contested.pop(link, None)) is not None:
+                    self._carry_out(self.registry.take_config(contested, True))
+                self._told_contact()
             case Fresh():
                 self._store_down(link)
             case Config():
-                self._carry_out(self.registry.take_config(message))
-            case WriteAck(number) | ReadAck(number):
-                if (waiting := self._calls.pop(number, None)) is not None and not waiting.done():
-                    waiting.set_result(message)
+                self._contested.pop(link, None)
+                held, leads = self.registry.config, link is self._primary()
+                self._carry_out(self.registry.take_config(message, leads))
+                if held is not None and held is self.registry.config and message.version == held.version:
+                    if not leads and digest_of(message.body) != held.digest:
+                        self._contested[link] = message  # should it turn out to lead
+                elif leads:
+                    self._told_contact()
+            case WriteAck() | ReadAck():
+                self._answered(link, message)
             case _:
                 pass
 
+    def _answered(self, link: Link, answer: WriteAck | ReadAck) -> None:
+        call = self._calls.get(answer.number)
+        # a store of before says no life: its link tells who is meant
+        if call is None or call.link is not link or answer.life not in (0, self._hello.life):
+            self._dropped += 1
+        elif not call.answer.done():
+            call.answer.set_result(answer)
+
     def _tick(self) -> None:
-        now = self._loop.time()
-        self._carry_out(self.registry.tick(now))
-        self._remember(now)
+        self._carry_out(self.registry.tick(self._loop.time()))
+        self._save()
         self._timer = self._loop.call_later(TICK_S, self._tick)
 
-    def _remember(self, now: float) -> None:
+    def _remind(self) -> asyncio.Future[None]:
+        """Read what the disk has kept; it is tried again until the disk lets it."""
+        done = self._loop.create_future()
+
+        def opened(read: asyncio.Future[list[Instance] | None]) -> None:
+            if self._closed or read.cancelled():
+                return
+            if not done.done():
+                done.set_result(None)
+            if (entries := read.result()) is None:
+                self._loop.call_later(REOPEN_S, self._remind)
+                return
+            self._read = True
+            self._carry_out(self.registry.remembered(self._loop.time(), entries))
+            if entries:
+                log.info("Remembers {} backends.", len(entries))
+
+        if not self._closed:
+            self._loop.run_in_executor(self._writer, self._memory.open).add_done_callback(opened)
+        return done
+
+    def _save(self) -> None:
         """Write down what has changed, beside the loop: a disk that hangs holds up nothing else."""
-        book = self.registry.book
-        if not book.changed or (self._written is not None and not self._written.done()):
+        if not self._read or (batch := self.registry.take_save(self._loop.time())) is None:
             return
-        entries = [book.entries[id].told(now) for id in book.changed if id in book.entries]
-        book.changed.clear()
-        if self._writer is None:
-            self._writer = concurrent.futures.ThreadPoolExecutor(1)
-        self._written = self._loop.run_in_executor(self._writer, self._memory.save, entries)
+
+        def saved(written: asyncio.Future[bool]) -> None:
+            if self._closed or written.cancelled():
+                return
+            self._carry_out(self.registry.saved(self._loop.time(), written.result()))
+
+        self._loop.run_in_executor(
+            self._writer, self._memory.save, batch.entries, batch.dropped, batch.whole
+        ).add_done_callback(saved)
 
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Confirmed):
                 if (waiting := self._confirms.pop(action.number, None)) is not None and not waiting.done():
-                    waiting.set_result(action.ok)
+                    waiting.set_result(action)
+            elif isinstance(action, Log):
+                log.error("{}", action.text)
             elif action.to is None:
                 for link in list(self.registry.ingresses):
                     assert isinstance(link, Link)
                     link.send(action.message)
             else:
-                assert isinstance(action, Tell) and isinstance(action.to, Link)
+                assert isinstance(action.to, Link)
                 action.to.send(action.message)
+        if self.registry.urgent:
+            self._save()
 
     # ---- calls.Registry
 
@@ -159,28 +256,36 @@
         entry = self.registry.book.entries.get(id)
         return entry.told(self._loop.time()) if entry is not None else None
 
-    async def beat(self, instance: Instance, count: int) -> str | None:
+    async def beat(self, instance: Instance, count: int) -> str | Failed:
         number, actions = self.registry.beat(self._loop.time(), instance, count)
-        confirmed: asyncio.Future[bool] | None = None
+        confirmed: asyncio.Future[Confirmed] | None = None
         if number:
             confirmed = self._confirms[number] = self._loop.create_future()
         self._carry_out(actions)
         if confirmed is not None:
-            if not await confirmed:
-                return None
+            found = await confirmed
+            if not found.ok:
+                return Failed(503, found.why)
             log.info(
                 "{}: {} of {}.",
                 ("available", "drains", "is gone")[instance.state],
                 instance.id,
-                instance.service,
+                instance.service or "a service that is not known here",
             )
-        ip = self.registry.target(instance.zone, self._boot.zone)
+        ip = self.registry.target(instance.zone)
+        if not ip and instance.state == READY and self.registry.away(self._loop.time()):
+            return Failed(503, "this registry is cut off from most others: they can't hear of it")
         return f"{ip}:{self._control_port}" if ip else ""
 
     def _status(self) -> dict[str, object]:
         primary = self._primary()
         name = primary.peer.name if primary is not None and primary.peer is not None else ""
-        return {"node": self._boot.name, "primary": name, **self.registry.status()}
+        return {
+            "node": self._boot.name,
+            "primary": name,
+            "droppedAnswers": {"store": self._dropped, "registries": self.registry.dropped},
+            **self.registry.status(self._loop.time()),
+        }
 
     def _primary(self) -> Link | None:
         return next(reversed(self._fresh), None)
@@ -189,40 +294,53 @@
         link = self._primary()
         if link is None or not link.send(message):
             return None
-        waiting = self._calls[message.number] = self._loop.create_future()
+        call = self._calls[message.number] = _Call(link, self._loop.create_future())
         try:
             async with asyncio.timeout(CALL_S):
-                answer: WriteAck | ReadAck = await waiting
-                return answer
+                return await call.answer
         except TimeoutError:
             return None
         finally:
             self._calls.pop(message.number, None)
 
-    async def put(self, version: int, body: bytes) -> str | None:
+    def _next(self) -> int:
         self._last += 1
-        answer = await self._ask(Write(self._last, version, msgspec.Raw(body)))
+        return self._last
+
+    async def put(self, version: int, body: bytes) -> Failed | None:
+        body = body.strip(AROUND)
+        asked = Write(self._next(), version, msgspec.Raw(body), self._hello.life, digest_of(body))
+        answer = await self._ask(asked)
         if isinstance(answer, WriteAck):
+            if answer.conflict:
+                log.warning("Write r{}: its number is taken by another body, {}.", version, answer.digest)
+                why = answer.why or "this revision is taken by another configuration"
+                return Failed(409, why, version, answer.digest)
             log.info("Write r{}: {}.", version, "kept" if answer.ok else answer.why)
-            return None if answer.ok else answer.why
+            return None if answer.ok else Failed(503, answer.why)
         log.warning("Write r{}: no answer of the store.", version)
-        return "the store does not answer"
+        return self._no_answer()
 
-    async def newest(self) -> tuple[int, bytes] | str:
-        self._last += 1
-        answer = await self._ask(Read(self._last))
+    def _no_answer(self) -> Failed:
+        there = "the store does not answer"
+        return Failed(503, there if self.registry.contact else "out of contact with the store's primary")
+
+    async def newest(self) -> tuple[int, bytes] | Failed:
+        answer = await self._ask(Read(self._next(), self._hello.life))
         if isinstance(answer, ReadAck) and answer.version >= 0:
             return answer.version, bytes(answer.body)
-        return answer.why if isinstance(answer, ReadAck) else "the store does not answer"
+        return Failed(503, answer.why) if isinstance(answer, ReadAck) else self._no_answer()
 
     def close(self) -> None:
-        """End in order."""
+        """End in order; harmless twice."""
+        if self._closed:
+            return
+        self._closed = True
         if self._timer is not None:
             self._timer.cancel()
         self._outside.close()
-        if self._writer is not None:
-            self._writer.shutdown()
-        self._memory.close()
         self._listener.close()
         for dialer in (*self._registries.values(), *self._stores.values()):
             dialer.close()
+        self._writer.submit(self._memory.close)
+        self._writer.shutdown()
--- a/pollen/instances.py
+++ b/pollen/instances.py
@@ -1,9 +1,9 @@
 """Backends as every process knows them: a book that merges in any order to the same (no I/O, no clock).
 
 What is said of an instance only rises: available, then draining, then gone. A new start is a new id. So
-word may come twice, late, or by any way, and nobody goes back. Gone ones are remembered for GONE_S, so that
-late word of them changes nothing. Times are seconds of the owner's steady clock; on the way only spans are
-told.
+word may come twice, late, or by any way, and nobody goes back. Gone ones stay as tombstones for GONE_S, and
+MOST_GONE at most, so that late word of them changes nothing; one may be gone that was never heard of (no
+service, no address). Times are seconds of the owner's steady clock; on the way only spans are told.
 """
 
 from __future__ import annotations
@@ -13,10 +13,16 @@
 
 from furrow.messages import GONE, READY, Instance
 
-GONE_S = 120.0  # how long a gone instance is remembered: word of it is seconds old at most
+GONE_S = 300.0  # a tombstone's time: longer than a cut or a machine's loss that somebody comes back from
+MOST_GONE = 8192  # tombstones, the newest: some releases of all backends of the largest site
 MOST = 100_000  # instances that a book holds
 
 
+def tombstone(id: str) -> Instance:
+    """Word that this one is gone, where nothing else is known of it."""
+    return Instance(id, "", "", "", 1, GONE)
+
+
 @dataclass(slots=True)
 class Entry:
     """One instance. warm_at: when it is as quick as ever; heard_at: its last sign of life, by any way."""
@@ -43,7 +49,7 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
-        self.changed: dict[str, None] = {}  # ids, since the owner last looked
+        self.changed: dict[str, None] = {}  # ids, since the owner last looked; also those that were dropped
         self._of: dict[str, dict[str, None]] = {}  # ids by service
 
     def services(self) -> list[str]:
@@ -82,10 +88,11 @@
                     now,
                 )
                 self.entries[said.id] = known
-                self._of.setdefault(said.service, {})[said.id] = None
+                if said.service:
+                    self._of.setdefault(said.service, {})[said.id] = None
                 risen.append(known)
                 self.changed[said.id] = None
-                if beat:
+                if beat and said.state != GONE:
                     risen += self._replaced(now, known)
             elif said.state > known.state:
                 known.state, known.changed_at = said.state, now
@@ -131,18 +138,40 @@
             entry.silent = True
         return found
 
+    def knows(self, said: Instance) -> bool:
+        """This state of it is known here, or a later one."""
+        entry = self.entries.get(said.id)
+        return entry is not None and entry.state >= said.state
+
+    def later(self, word: Iterable[Instance]) -> list[Entry]:
+        """Those of which a later state is known here than this word says: who said it is behind."""
+        found = (self.entries.get(said.id) for said in word if said.state != GONE)
+        said_of = {said.id: said.state for said in word}
+        return [entry for entry in found if entry is not None and entry.state > said_of[entry.id]]
+
     def forget(self, now: float, silent_s: float) -> list[Entry]:
         """Drop what has long been gone; give what was silent for so long, which is gone from now on."""
-        lost = []
+        lost, gone = [], []
         for entry in list(self.entries.values()):
             if entry.state == GONE:
                 if now - entry.changed_at > GONE_S:
-                    del self.entries[entry.id]
-                    self._of[entry.service].pop(entry.id, None)
-                    if not self._of[entry.service]:
-                        del self._of[entry.service]
+                    self._drop(entry)
+                else:
+                    gone.append(entry)
             elif now - entry.heard_at > silent_s:
                 entry.state, entry.changed_at = GONE, now
                 self.changed[entry.id] = None
                 lost.append(entry)
+        if len(gone) > MOST_GONE:
+            gone.sort(key=lambda entry: entry.changed_at)
+            for entry in gone[:-MOST_GONE]:
+                self._drop(entry)
         return lost
+
+    def _drop(self, entry: Entry) -> None:
+        del self.entries[entry.id]
+        self.changed[entry.id] = None
+        if (of := self._of.get(entry.service)) is not None:
+            of.pop(entry.id, None)
+            if not of:
+                del self._of[entry.service]
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from furrow.messages import DRAINING, GONE, READY, Beats, Config, Fresh, Instance, Instances, Member, Members, Silence
+from furrow.messages import DRAINING, GONE, READY, Beats, Config, Fresh, Instance, Instances, Member, Members, Silence, digest_of
 from hedgerow.registry import Confirmed, Registry, Tell
 from pollen.instances import Book
 
@@ -33,10 +33,13 @@
             for m in range(3):
                 if n != m:
                     self.do(n, self.books[n].registry_up(0.0, m, f"10.0.0.{m}", "abc"[m]))
+            self.do(n, self.books[n].primary(0.0, Fresh(True, 0)))
             self.do(n, self.books[n].ingress_up(0.0, "ingress", Member(f"e{n}", "10.1.0.1", 1, "a", 1)))
         self.deliver_all()
 
     def do(self, n: int, actions: list) -> None:
+        if self.books[n].urgent and self.books[n].take_save(self.now) is not None:
+            actions = [*actions, *self.books[n].saved(self.now, True)]
         for action in actions:
             if isinstance(action, Confirmed):
                 told = self.pending.pop((n, action.number), None)
@@ -101,6 +104,7 @@
             if m != n:
                 self.do(n, self.books[n].registry_up(self.now, m, f"10.0.0.{m}", "abc"[m]))
                 self.do(m, self.books[m].registry_up(self.now, n, f"10.0.0.{n}", "abc"[n]))
+        self.do(n, self.books[n].primary(self.now, Fresh(True, 0)))
         self.do(n, self.books[n].ingress_up(self.now, "ingress", Member(f"e{n}", "10.1.0.1", 1, "a", 1)))
         self.deliver_all()
 
@@ -124,8 +128,10 @@
 
 
 def test_without_a_second_registry_a_drain_is_not_acknowledged() -> None:
-    registry = Registry(0.0, 1.5)
+    registry = Registry(0.0, 1.5, seeds=["10.0.0.2"])
+    registry.primary(0.0, Fresh(True, 0))
     number, _ = registry.beat(0.0, instance("i-1", DRAINING), 3)
+    assert registry.take_save(0.0) is not None and registry.saved(0.0, True) == []
     assert Confirmed(number, False) in registry.tick(1.0)
 
 
@@ -162,7 +168,8 @@
     assert registry.take_config(new)
     assert registry.take_config(old) == []
     told = [a.message for a in registry.ingress_up(0.0, "e", Member("e", "10.1.0.1", 1, "a", 1)) if a.to == "e"]
-    assert told[0] == new and told[-1] == Fresh(False, 9)
+    digest = digest_of(b"{}")
+    assert told[0] == Config(9, msgspec.Raw(b"{}"), digest) and told[-1] == Fresh(False, 9, digest)
 
 
 def test_members_are_all_that_are_linked_anywhere() -> None:
--- /dev/null
+++ b/tests/system/test_registry_worst_days.py
@@ -0,0 +1,93 @@
+"""Registries under cuts, kills, full disks and losses of power, in simulated time; planted faults are found."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+from registries import Core, Violation, play
+
+from furrow.messages import GONE, InstancesAck
+from hedgerow.registry import Borne, Confirmed, Registry, Tell
+
+SCHEDULES = int(os.environ.get("REGISTRY_SCHEDULES", "600"))  # in all; more by hand
+PARTS = 4
+SITES = [(3, 3, Borne(1)), (4, 2, Borne(1, 1)), (5, 5, Borne(2)), (4, 4, Borne(0, 0, 1, {"z0": "a", "z1": "a", "z2": "b", "z3": "b"}))]
+
+
+def site(seed: int, make: type[Registry] = Registry) -> Core:
+    machines, zones, borne = SITES[seed % len(SITES)]
+    return Core(seed, machines, zones, borne, make)
+
+
+@pytest.mark.parametrize("part", range(PARTS))
+def test_what_was_acknowledged_outlives_every_loss_that_is_to_be_borne(part: int) -> None:
+    served = refused = 0
+    for seed in range(part, SCHEDULES, PARTS):
+        core = site(seed)
+        play(core)
+        served, refused = served + core.served, refused + core.refused
+    assert served > SCHEDULES / PARTS and refused  # the courses do ask
+
+
+class BeforeTheSecondDisk(Registry):
+    def _enough(self, now, synced):
+        return True
+
+
+class BeforeTheOwnDisk(Registry):
+    def _settle(self, now):
+        early = [n for n, question in self._questions.items() if self._enough(now, question.synced)]
+        for number in early:
+            del self._questions[number]
+        return [*(Confirmed(number, True) for number in early), *super()._settle(now)]
+
+
+class BeforeThePeersDisk(Registry):
+    def _told_of(self, now, link, told):
+        early = [Tell(link, InstancesAck(told.number, told.life, self.contact))] if told.number else []
+        return [*early, *super()._told_of(now, link, told)]
+
+
+class OutOfContact(Registry):
+    contact = property(lambda self: True)  # type: ignore[assignment]
+
+
+class InOnePlace(Registry):
+    def _enough(self, now, synced):
+        self._borne = Borne(1)
+        return super()._enough(now, synced)
+
+
+class ARepeatIsTakenForKnown(Registry):
+    def beat(self, now, said, count):
+        known = self.book.entries.get(said.id)
+        if known is not None and 0 <= count <= self.counts.get(said.id, -1) and said.state <= known.state:
+            return 0, []
+        return super().beat(now, said, count)
+
+
+class AStrangerIsGoneOutOfHand(Registry):
+    def beat(self, now, said, count):
+        return (0, []) if said.state == GONE and said.id not in self.book.entries else super().beat(now, said, count)
+
+
+class NoTombstoneIsReadBack(Registry):
+    def remembered(self, now, entries):
+        return super().remembered(now, [entry for entry in entries if entry.state != GONE])
+
+
+class AFailedSaveCounts(Registry):
+    def saved(self, now, ok):
+        return super().saved(now, True)
+
+
+PLANTED = [(BeforeTheSecondDisk, 40), (BeforeTheOwnDisk, 120), (BeforeThePeersDisk, 40), (OutOfContact, 200), (InOnePlace, 80),
+           (ARepeatIsTakenForKnown, 120), (AStrangerIsGoneOutOfHand, 40), (NoTombstoneIsReadBack, 200), (AFailedSaveCounts, 200)]
+
+
+@pytest.mark.parametrize(("fault", "within"), PLANTED, ids=lambda value: getattr(value, "__name__", ""))
+def test_a_planted_fault_is_found(fault: type[Registry], within: int) -> None:
+    with pytest.raises(Violation):
+        for seed in range(within):
+            play(site(seed, fault))
