--- a/hedgerow/disk.py
+++ b/hedgerow/disk.py
@@ -46,7 +46,7 @@
                 return [msgspec.json.decode(told, type=Instance) for (told,) in rows]
             except (sqlite3.Error, OSError, msgspec.MsgspecError) as error:
                 self.close()
-                if isinstance(error, sqlite3.OperationalError | OSError) or not again:
+                if _refuses(error) or not again:
                     log.warning("Disk: backends are not remembered: {}. It is tried again.", error)
                     return None
                 self._begin_anew(self._path, error)
@@ -95,7 +95,7 @@
         except (sqlite3.Error, OSError) as error:
             log.warning("Disk: what is known of backends can't be kept: {}. It is tried again.", error)
             self.close()  # what the next commit would say of this one can't be known
-            if isinstance(error, sqlite3.DatabaseError) and not isinstance(error, sqlite3.OperationalError):
+            if not _refuses(error):
                 self._begin_anew(self._path, error)
             return False
         return True
@@ -108,6 +108,13 @@
             self._base = None
 
 
+def _refuses(error: Exception) -> bool:
+    """The disk is in trouble, and what lies there may be whole."""
+    return isinstance(error, OSError) or (
+        isinstance(error, sqlite3.OperationalError) and "malformed" not in str(error)
+    )
+
+
 def _sync_folder(folder: Path) -> None:
     """A name that is new lasts over a loss of power once its folder was synced."""
     handle = os.open(folder, os.O_RDONLY)
--- a/pollen/instances.py
+++ b/pollen/instances.py
@@ -51,6 +51,7 @@
         self.entries: dict[str, Entry] = {}
         self.changed: dict[str, None] = {}  # ids, since the owner last looked; also those that were dropped
         self._of: dict[str, dict[str, None]] = {}  # ids by service
+        self._at: dict[str, dict[str, None]] = {}  # ids by address, without those that are gone
 
     def services(self) -> list[str]:
         """Those that have instances."""
@@ -90,27 +91,34 @@
                 self.entries[said.id] = known
                 if said.service:
                     self._of.setdefault(said.service, {})[said.id] = None
+                if said.state != GONE:
+                    self._at.setdefault(said.address, {})[said.id] = None
                 risen.append(known)
                 self.changed[said.id] = None
                 if beat and said.state != GONE:
                     risen += self._replaced(now, known)
             elif said.state > known.state:
-                known.state, known.changed_at = said.state, now
+                self._rise(now, known, said.state)
                 risen.append(known)
-                self.changed[said.id] = None
             if beat:
                 known.heard_at = now
         return risen
 
     def _replaced(self, now: float, by: Entry) -> list[Entry]:
         """Those whose address another one serves at now have ended: a start has its id for life."""
-        there = (e for e in self.entries.values() if e.address == by.address and e is not by)
-        gone = [entry for entry in there if entry.state != GONE]
+        gone = [self.entries[id] for id in self._at.get(by.address, ()) if id != by.id]
         for entry in gone:
-            entry.state, entry.changed_at = GONE, now
-            self.changed[entry.id] = None
+            self._rise(now, entry, GONE)
         return gone
 
+    def _rise(self, now: float, entry: Entry, state: int) -> None:
+        entry.state, entry.changed_at = state, now
+        self.changed[entry.id] = None
+        if state == GONE and (at := self._at.get(entry.address)) is not None:
+            at.pop(entry.id, None)
+            if not at:
+                del self._at[entry.address]
+
     def told(self, now: float, all_states: bool = True) -> list[Instance]:
         """Everything, as it is said to others."""
         return [entry.told(now) for entry in self.entries.values() if all_states or entry.state != GONE]
@@ -159,8 +167,7 @@
                 else:
                     gone.append(entry)
             elif now - entry.heard_at > silent_s:
-                entry.state, entry.changed_at = GONE, now
-                self.changed[entry.id] = None
+                self._rise(now, entry, GONE)
                 lost.append(entry)
         if len(gone) > MOST_GONE:
             gone.sort(key=lambda entry: entry.changed_at)
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -2,19 +2,53 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import threading
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from furrow.messages import DRAINING, GONE, READY, Beats, Config, Fresh, Instance, Instances, Member, Members, Silence, digest_of
-from hedgerow.registry import Confirmed, Registry, Tell
-from pollen.instances import Book
+from almanac.boot import boot_of
+from furrow.calls import Call, Reply
+from furrow.link import Link
+from furrow.messages import (
+    DRAINING,
+    GONE,
+    READY,
+    Beats,
+    Config,
+    Fresh,
+    Hello,
+    Instance,
+    Instances,
+    InstancesAck,
+    Member,
+    Members,
+    Message,
+    Read,
+    ReadAck,
+    Silence,
+    Write,
+    WriteAck,
+    digest_of,
+)
+from hedgerow.daemon import Daemon
+from hedgerow.disk import Memory
+from hedgerow.registry import Borne, Confirmed, Log, Registry, Tell
+from pollen.instances import GONE_S, Book, tombstone
 
 IDS = ["i-1", "i-2", "i-3"]
 
 
-def instance(id: str, state: int = READY) -> Instance:
-    return Instance(id, "s", "10.0.0.9:80", "a", 2, state)
+def instance(id: str, state: int = READY, at: str = "10.0.0.9:80") -> Instance:
+    return Instance(id, "s", at, "a", 2, state)
 
 
 class Registries(RuleBasedStateMachine):
@@ -162,7 +196,6 @@
 
 
 def test_configurations_only_rise_and_newcomers_hear_of_freshness_last() -> None:
-    import msgspec
     registry = Registry(0.0, 1.5)
     new, old = Config(9, msgspec.Raw(b"{}")), Config(7, msgspec.Raw(b"{}"))
     assert registry.take_config(new)
@@ -219,3 +252,462 @@
     assert sent < count * count * 1.2  # the list once to each, whole or in parts: not a message for each start
     do(registry.ingress_down(now + 1, "l7"))
     assert "e7" not in known["l3"]  # one alone is told at once
+
+
+# ---- what is acknowledged
+
+
+def in_contact(life: int = 7, borne: Borne | None = None, others: int = 2) -> Registry:
+    """Linked to registries r1 and so on, in zones b and so on, and to the store's primary."""
+    registry = Registry(0.0, 1.5, life, "a", ["10.0.0.2", "10.0.0.3"], borne or Borne(1))
+    registry.primary(0.0, Fresh(True, 0))
+    for n in range(1, others + 1):
+        registry.registry_up(0.0, f"r{n}", f"10.0.0.{n + 1}", "abcd"[n])
+    return registry
+
+
+def synced(registry: Registry, now: float = 0.0) -> list:
+    return registry.saved(now, True) if registry.take_save(now) is not None else []
+
+
+@pytest.mark.parametrize(("link", "ack", "counts", "dropped"), [
+    ("r1", InstancesAck(1, 7, True), True, 0),
+    ("r1", InstancesAck(1, 7, False), False, 0),  # the other one is out of contact
+    ("r1", InstancesAck(1, 6, True), False, 1),  # this process's life before asked that
+    ("r1", InstancesAck(1, 0, True), False, 1),
+    ("r1", InstancesAck(2, 7, True), False, 1),  # never asked
+    ("r9", InstancesAck(1, 7, True), False, 1),  # not on the link that the question went out on
+])
+def test_a_confirmation_counts_for_the_question_that_it_answers(link: str, ack: InstancesAck, counts: bool, dropped: int) -> None:
+    registry = in_contact()
+    number, actions = registry.beat(0.0, instance("i-1", DRAINING), 3)
+    assert number == 1 and Tell("r1", Instances([instance("i-1", DRAINING)], 1, 7)) in actions
+    registry.registry_up(0.0, "r9", "10.0.0.3", "c")  # a later link
+    assert synced(registry) == []
+    assert (Confirmed(1, True) in registry.hear(0.1, link, ack)) == counts
+    assert registry.dropped == dropped
+
+
+@pytest.mark.parametrize(("borne", "zones", "enough"), [
+    (Borne(1), "b", True), (Borne(0), "b", True), (Borne(2), "b", False), (Borne(2), "bc", True),
+    (Borne(1, 1), "a", False), (Borne(1, 1), "ab", True), (Borne(1, 2), "bb", False), (Borne(1, 2), "bc", True),
+    (Borne(0, 0, 1, {"a": "x", "b": "x", "c": "y"}), "b", False), (Borne(0, 0, 1, {"a": "x", "b": "x", "c": "y"}), "c", True)])
+def test_copies_lie_in_so_many_places_as_losses_ask_for(borne: Borne, zones: str, enough: bool) -> None:
+    registry = in_contact(borne=borne, others=0)
+    for n, zone in enumerate("abbc"):
+        registry.registry_up(0.0, n, f"10.0.1.{n}", zone)
+    registry.beat(0.0, instance("i-1", DRAINING), 3)
+    said = synced(registry)
+    free = {zone: [n for n, z in enumerate("abbc") if z == zone] for zone in "abc"}
+    for zone in zones:
+        said += registry.hear(0.1, free[zone].pop(0), InstancesAck(1, 7, True))
+    assert (Confirmed(1, True) in said) == enough
+
+
+def test_who_was_lost_for_long_is_the_loss_that_is_borne_and_one_machine_alone_needs_no_other() -> None:
+    registry = in_contact(borne=Borne(2))
+    registry.registry_down(1.0, "r2")
+    for now, enough in ((2.0, False), (5.0, True)):  # contactS is 3
+        number, _ = registry.beat(now, instance(f"i-{now}", DRAINING), 3)
+        synced(registry, now)
+        assert (Confirmed(number, True) in registry.hear(now, "r1", InstancesAck(number, 7, True))) == enough
+    alone = Registry(0.0, 1.5)
+    alone.primary(0.0, Fresh(True, 0))
+    alone.beat(0.0, instance("i-1", GONE), -1)
+    assert Confirmed(1, True) in synced(alone)
+
+
+def test_another_registry_confirms_after_its_own_sync_and_says_whether_it_counts() -> None:
+    for contact in (True, False):
+        registry = in_contact()
+        if not contact:
+            registry.primary(0.0, None)
+        asked = Instances([instance("i-1", DRAINING)], 5, 99)
+        assert not any(isinstance(a.message, InstancesAck) for a in registry.hear(0.0, "r1", asked) if isinstance(a, Tell))
+        assert synced(registry) == [Tell("r1", InstancesAck(5, 99, contact))]
+        assert Tell("r1", InstancesAck(6, 99, contact)) in registry.hear(0.1, "r1", Instances(asked.entries, 6, 99))  # known by now
+
+
+def test_a_disk_that_is_slow_or_refuses_ends_the_call_and_the_next_save_has_all() -> None:
+    registry = in_contact()
+    registry.beat(0.0, instance("i-1", DRAINING), 3)
+    registry.take_save(0.0)
+    registry.hear(0.0, "r1", InstancesAck(1, 7, True))
+    assert Confirmed(1, False) in registry.tick(0.8)  # it hangs
+    number, _ = registry.beat(0.8, instance("i-1", DRAINING), 4)
+    assert Confirmed(number, False) in registry.saved(0.9, False)
+    assert registry.take_save(0.95) is None  # a moment's rest
+    registry.beat(1.0, instance("i-2", at="10.0.0.8:80"), 1)
+    batch = registry.take_save(1.3)
+    assert batch is not None and batch.whole and {(e.id, e.state) for e in batch.entries} == {("i-1", DRAINING), ("i-2", READY)}
+
+
+def test_the_same_draining_again_is_not_taken_for_known_elsewhere() -> None:
+    registry = in_contact(others=0)
+    first, _ = registry.beat(0.0, instance("i-1", DRAINING), 5)
+    synced(registry)
+    assert Confirmed(first, False) in registry.tick(1.0)
+    second, actions = registry.beat(1.1, instance("i-1", DRAINING), 5)
+    assert second and Confirmed(second, True) not in actions
+
+
+def test_one_that_was_never_heard_of_is_gone_for_good_once_others_have_it() -> None:
+    registry = in_contact()
+    number, actions = registry.beat(0.0, tombstone("i-9"), -1)
+    assert number and Tell("r1", Instances([tombstone("i-9")], number, 7)) in actions and Tell(None, Instances([tombstone("i-9")])) in actions
+    batch = registry.take_save(0.0)
+    assert batch is not None and batch.entries == [tombstone("i-9")]
+    registry.saved(0.0, True)
+    assert Confirmed(number, True) in registry.hear(0.1, "r1", InstancesAck(number, 7, True))
+    for state, count in ((READY, 8), (DRAINING, 9)):
+        registry.beat(0.2, instance("i-9", state), count)
+        # a peer that was away says what it knows, and is told the rest
+        assert Tell("r2", Instances([tombstone("i-9")])) in registry.hear(0.3, "r2", Instances([instance("i-9", state)]))
+    assert registry.book.entries["i-9"].state == GONE and registry.book.services() == [] and registry.status(1.0)["services"] == {}
+    again = Registry(0.0, 1.5)
+    again.remembered(0.0, batch.entries)
+    again.hear(1.0, "r", Instances([instance("i-9")]))
+    assert again.book.entries["i-9"].state == GONE and again.take_save(1.0) is None
+
+
+def test_a_follower_that_missed_a_leaving_is_told_when_it_says_what_it_knows() -> None:
+    registry = in_contact()
+    registry.beat(0.0, instance("i-1"), 1)
+    registry.beat(0.1, instance("i-1", GONE), -1)
+    registry.ingress_up(1.0, "e", Member("e", "10.1.0.1", 1, "a", 1))
+    assert Tell("e", Instances([instance("i-1", GONE)])) in registry.hear(1.0, "e", Instances([instance("i-1")]))
+
+
+# ---- contact
+
+
+def test_out_of_contact_nothing_is_confirmed_and_everything_is_passed_on() -> None:
+    registry = in_contact()
+    waits, _ = registry.beat(0.0, instance("i-1", DRAINING), 3)
+    lost = registry.primary(1.0, None)
+    assert Confirmed(waits, False) in lost and Tell(None, Fresh(False, 0)) in lost and Tell("r1", Fresh(False, 0)) in lost
+    number, actions = registry.beat(1.1, instance("i-2", GONE), -1)
+    assert Confirmed(number, False) in actions and registry.book.entries["i-2"].state == GONE
+    assert {a.to for a in actions if isinstance(a, Tell) and isinstance(a.message, Instances)} == {"r1", "r2", None}
+    found = registry.status(3.5)
+    assert (found["contact"], found["contactSinceS"], found["fresh"]) == (False, 2.5, False)
+
+
+@pytest.mark.parametrize(("contact", "linked", "others_contact", "after", "away", "target"), [
+    (True, 2, (), 9.0, False, ""),
+    (False, 2, (), 9.0, False, ""),  # nobody leads anywhere: word reaches all from here
+    (False, 0, (), 0.5, False, ""),  # an election, or all have just started
+    (False, 0, (), 1.5, True, ""),  # cut off: the other side hears of it only there
+    (False, 1, ("r1",), 9.0, False, "10.0.0.2"),  # one way is left
+    (False, 2, ("r2",), 9.0, False, "10.0.0.3"),
+    (True, 2, ("r1", "r2"), 9.0, False, ""),
+])
+def test_beats_are_made_where_a_majority_hears_of_them(
+        contact: bool, linked: int, others_contact: tuple[str, ...], after: float, away: bool, target: str) -> None:
+    registry = in_contact()
+    for link in others_contact:
+        registry.hear(0.0, link, Fresh(True, 0))
+    for n in range(linked + 1, 3):
+        registry.registry_down(0.0, f"r{n}")
+    if not contact:
+        registry.primary(0.0, None)
+    registry.beat(after, instance("i-1"), 1)
+    assert registry.away(after) == away and registry.target("a") == target
+    assert registry.book.entries["i-1"].state == READY  # known whatever the answer
+
+
+def test_a_registry_that_starts_alone_takes_nobody_for_silent_before_it_has_met_another() -> None:
+    registry = Registry(0.0, 1.5, seeds=["10.0.0.2"])
+    registry.remembered(0.0, [instance("i-1")])
+    assert not [a for s in range(1, 200) for a in registry.tick(s * 0.5) if isinstance(a, Tell)]
+    registry.primary(100.0, Fresh(True, 0))
+    assert Tell(None, Silence(["i-1"], [])) in registry.tick(100.5)
+
+
+# ---- the configuration
+
+
+def config(version: int, body: bytes = b'{"a":1}', digest: str | None = None) -> Config:
+    return Config(version, msgspec.Raw(body), digest_of(body) if digest is None else digest)
+
+
+@pytest.mark.parametrize(("told", "primary", "held", "says"), [
+    (config(6), False, config(7), ""),
+    (config(6, b"{}"), True, config(7), ""),
+    (config(7), False, config(7), ""),
+    (config(7, digest=""), True, config(7), ""),  # of a store of before
+    (config(7, b"{}"), False, config(7), "Two bodies under r7"),
+    (config(7, b"{}"), True, config(7, b"{}"), "Two bodies under r7"),
+    (config(8, b"{}"), False, config(8, b"{}"), ""),
+    (config(8, b"{}", "0" * 24), False, config(7), "does not fit its digest"),
+])
+def test_a_configuration_is_its_number_and_its_digest(told: Config, primary: bool, held: Config, says: str) -> None:
+    registry = in_contact()
+    registry.take_config(config(7))
+    actions = registry.take_config(told, primary)
+    assert registry.config == held
+    assert [a.text for a in actions if isinstance(a, Log)] == [] if not says else says in next(a.text for a in actions if isinstance(a, Log))
+    assert (Tell(None, held) in actions) == (held != config(7))
+
+
+@pytest.mark.parametrize(("told", "fresh"), [
+    (None, False), (Fresh(True, 7), True), (Fresh(True, 6), True), (Fresh(True, 8), False),
+    (Fresh(True, 7, digest_of(b'{"a":1}')), True), (Fresh(True, 7, digest_of(b"{}")), False)])
+def test_a_registry_is_fresh_once_it_has_what_the_primary_told(told: Fresh | None, fresh: bool) -> None:
+    registry = in_contact()
+    registry.take_config(config(7))
+    registry.primary(1.0, told)
+    assert registry.freshness == Fresh(fresh, 7, digest_of(b'{"a":1}'))
+    if told == Fresh(True, 8):
+        assert Tell(None, Fresh(True, 8, digest_of(b"{}"))) in registry.take_config(config(8, b"{}"), True)
+
+
+# ---- nothing grows
+
+
+def test_nothing_grows_with_instances_configurations_or_ingresses_that_come_and_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    most = 1000  # tombstones
+    monkeypatch.setattr("pollen.instances.MOST_GONE", most)
+    registry, disk, now = in_contact(), {}, 0.0  # type: ignore[var-annotated]
+
+    def save() -> None:
+        if (batch := registry.take_save(now)) is not None:
+            disk.update({e.id: e for e in batch.entries})
+            for id in batch.dropped:
+                disk.pop(id, None)
+            for action in registry.saved(now, True):
+                assert isinstance(action, Confirmed | Tell)
+
+    for n in range(6000):
+        now += 0.02
+        registry.beat(now, instance(f"i-{n}", at=f"a{n % 30}"), 1)
+        for state in (DRAINING, GONE):
+            if n >= 20:
+                number, _ = registry.beat(now, instance(f"i-{n - 20}", state, f"a{(n - 20) % 30}"), state)
+                registry.hear(now, "r1", InstancesAck(number, 7, True))
+        registry.hear(now, "r2", Instances([instance(f"i-{n}", at=f"a{n % 30}")], n + 1, 5))
+        if n % 10 == 0:
+            registry.ingress_up(now, f"l{n}", Member(f"e{n}", "10.1.0.1", 1, "a", n))
+            registry.ingress_down(now, f"l{n - 50}")
+            registry.take_config(config(n))
+            save()
+            registry.tick(now)
+            assert len(registry.book.entries) <= most + 60 and len(registry.counts) <= most + 60
+            assert len(registry._questions) + len(registry._owed) <= 200 and len(registry._told_members) <= 260 and len(disk) <= most + 80
+    assert len(registry.book.entries) > most
+    for link in list(registry.ingresses):
+        registry.ingress_down(now, link)
+    for _ in range(3):
+        now += GONE_S / 2 + 1
+        registry.tick(now)
+        save()
+    assert not registry.book.entries and not registry.counts and not disk and not registry._told_members
+    assert not registry.book._at and not registry.book._of
+
+
+def test_a_registry_that_was_removed_is_forgotten_by_one_in_contact_only() -> None:
+    for contact in (True, False):
+        registry = in_contact(others=3)
+        for link in ("r2", "r3"):
+            registry.registry_down(1.0, link)
+        if not contact:
+            registry.primary(1.0, None)
+        for now in (20.0, 40.0):
+            registry.tick(now)
+        assert len(registry.others) == (1 if contact else 3) and registry._in_company == contact
+
+
+# ---- the disk
+
+
+def test_what_is_saved_is_read_back_and_a_damaged_file_is_begun_anew(tmp_path: Path) -> None:
+    memory = Memory(tmp_path)
+    assert memory.open() == []
+    one, gone = instance("i-1"), tombstone("i-2")
+    assert memory.save([one, gone, instance("i-3")], [], False) and memory.save([instance("i-1", DRAINING)], ["i-3"], False)
+    memory.close()
+    again = Memory(tmp_path)
+    assert again.open() == [gone, instance("i-1", DRAINING)]
+    assert again.save([one], [], True)
+    again.close()
+    assert again.open() == [one]
+    again.close()
+    (tmp_path / "hedgerow.db").write_bytes(b"garbage" * 999)
+    assert again.open() == [] and again.save([one], [], False)
+    again.close()
+
+
+def test_a_disk_that_refuses_is_tried_again_and_never_read_as_empty(tmp_path: Path) -> None:
+    folder = tmp_path / "data"
+    folder.write_text("no folder")
+    memory = Memory(folder)
+    assert memory.open() is None and memory.save([instance("i-1")], [], False) is False
+    folder.unlink()
+    assert memory.open() == [] and memory.save([instance("i-1")], [], False)
+
+
+# ---- the daemon: calls, and answers of the store
+
+
+class Stub(Link):
+    """A link that keeps what is said on it."""
+
+    def __init__(self, name: str = "store") -> None:
+        self.peer, self.open, self.said = Hello("rootstock", name, "10.0.0.2", "b", 3), True, []  # type: ignore[var-annotated]
+
+    def send(self, message: Message) -> bool:
+        self.said.append(message)
+        return self.open
+
+
+def with_daemon(story: Callable[[Daemon, Stub], Awaitable[None]], **changes: Any) -> None:
+    boot = boot_of({"nodeName": "n", "ipAddress": "10.0.0.1", "zone": "a", "internalPortRange": [7000, 7002],
+                    "faultTolerance": {"machines": 1}, **changes})
+
+    async def whole() -> None:
+        daemon, store = Daemon(boot, 7), Stub()
+        daemon._store_says(store, Fresh(True, 0))
+        try:
+            await story(daemon, store)
+        finally:
+            daemon.close()
+
+    asyncio.run(asyncio.wait_for(whole(), 20))
+
+
+async def turns() -> None:
+    """The loop goes round a few times, and no time goes by."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def asked(daemon: Daemon, method: str, path: str, body: bytes = b"") -> Reply:
+    return await daemon._outside.handler(Call(method.encode(), path.encode(), body))
+
+
+ORDER = json.dumps({"revision": "r9", "routes": {"columns": ["name"], "rows": []}, "services": {"columns": ["name"], "rows": []}}).encode()
+
+
+def test_an_answer_of_the_store_is_taken_by_the_call_that_it_belongs_to() -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        call = asyncio.create_task(asked(daemon, "POST", "/configuration/replace", ORDER + b"\n"))
+        await turns()
+        (write,) = store.said
+        assert write == Write(1, 9, msgspec.Raw(ORDER), 7, digest_of(ORDER))
+        other = Stub("other")
+        for link, answer in ((other, WriteAck(1, True, life=7)), (store, WriteAck(1, True, life=6)), (store, WriteAck(2, True, life=7)),
+                             (other, ReadAck(1, 9, life=7))):
+            daemon._store_says(link, answer)
+            await turns()
+            assert not call.done()
+        status = json.loads((await asked(daemon, "GET", "/system/status")).body)
+        assert status["droppedAnswers"] == {"store": 4, "registries": 0} and status["contact"] is True and status["primary"] == "store"
+        daemon._store_says(store, WriteAck(1, True, life=7))
+        assert (await call).status == 200
+
+    with_daemon(story)
+
+
+@pytest.mark.parametrize("ends", ["link", "primary"])
+def test_calls_end_at_once_with_their_link_and_out_of_contact(ends: str) -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        calls = [("POST", "/configuration/replace", ORDER), ("GET", "/configuration/describe", b"")]
+        waiting = [asyncio.create_task(asked(daemon, *call)) for call in calls]
+        await turns()
+        assert [type(message) for message in store.said] == [Write, Read] and not any(call.done() for call in waiting)
+        if ends == "link":
+            store.open = False
+            daemon._store_down(store)
+        else:
+            daemon._store_says(store, Fresh(False, 0))
+        await turns()
+        assert [call.done() and call.result().status for call in waiting] == [503, 503]
+        calls.append(("POST", "/instances/i-1/deregister", b""))
+        again = [asyncio.create_task(asked(daemon, *call)) for call in calls]
+        await turns()
+        assert [call.done() and call.result().status for call in again] == [503, 503, 503]
+        assert daemon.registry.book.entries["i-1"].state == GONE
+
+    with_daemon(story)
+
+
+@pytest.mark.parametrize(("answer", "status", "held"), [
+    (WriteAck(1, True, life=7), 200, None),
+    (WriteAck(1, True), 200, None),  # a store of before tells no life
+    (WriteAck(1, False, "the backup was lost", life=7), 503, None),
+    (WriteAck(1, False, "", 7, True, "abc"), 409, {"revision": "r9", "digest": "abc"}),
+])
+def test_what_the_store_answers_is_told_as_it_is(answer: WriteAck, status: int, held: dict | None) -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        call = asyncio.create_task(asked(daemon, "POST", "/configuration/replace", ORDER))
+        await turns()
+        daemon._store_says(store, answer)
+        reply = await call
+        assert reply.status == status and (json.loads(reply.body).get("held") if held else None) == held
+
+    with_daemon(story)
+
+
+def test_of_two_bodies_the_primary_s_is_held_also_where_it_leads_only_later() -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        daemon._store_says(store, config(9))
+        other = Stub("other")
+        daemon._store_says(other, config(9, b"{}"))  # it does not lead yet
+        assert daemon.registry.config == config(9)
+        daemon._store_says(other, Fresh(True, 9, digest_of(b"{}")))
+        assert daemon.registry.config == config(9, b"{}") and daemon.registry.fresh and not daemon._contested
+
+    with_daemon(story)
+
+
+def test_a_disk_that_hangs_holds_up_no_other_call(tmp_path: Path) -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        await daemon._remind()
+        go = threading.Event()
+        daemon._memory.save = lambda *_: go.wait(10)  # type: ignore[method-assign]
+        try:
+            leaving = asyncio.create_task(asked(daemon, "POST", "/instances/i-1/deregister"))
+            await turns()
+            assert not leaving.done()
+            beat = b'{"service": "s", "address": "10.0.0.9:80"}'
+            assert (await asked(daemon, "POST", "/instances/i-2/heartbeat", beat)).status == 200
+        finally:
+            go.set()
+        assert (await leaving).status == 200
+
+    with_daemon(story, dataDirectory=str(tmp_path))
+
+
+GOOD = {"service": "s", "address": "10.0.0.9:80"}
+
+
+@pytest.mark.parametrize(("method", "path", "body", "status", "place"), [
+    ("POST", "/instances/i-1/heartbeat", b'{"service": "s", "addr', 400, "body"),
+    ("POST", "/instances/i-1/heartbeat", b'[]', 400, "not a mapping"),
+    ("POST", "/instances/i-1/heartbeat", b'\xff', 400, "body"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "callCount": -1}, 400, "callCount"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "callCount": 10**30}, 400, "callCount"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "callCount": "4"}, 400, "callCount"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "capacity": 10**30}, 400, "capacity"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "capacity": 0}, 400, "capacity"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "warmupLeftS": 1e300}, 400, "warmupLeftS"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "state": "gone"}, 400, "state"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "address": "10.0.0.9:99999"}, 400, "address"),
+    ("POST", "/instances/i-1/heartbeat", {**GOOD, "service": "x" * 5000}, 413, "4096"),
+    ("POST", f"/instances/{'i' * 129}/heartbeat", GOOD, 400, "id"),
+    ("POST", "/instances//deregister", b"", 400, "id"),
+    ("POST", "/instances/i\x7f/deregister", b"", 400, "id"),
+    ("GET", "/instances/i-1/deregister", b"", 405, "POST"),
+    ("POST", "/instances/i-1/nothing", b"", 404, "call"),
+    ("POST", "/configuration/replace", b'{"revision": "r9", "rou', 400, "body"),
+    ("POST", "/configuration/replace", b'[1]', 400, "body"),
+    ("POST", "/configuration/replace", ORDER.replace(b"r9", b"r-9"), 400, "revision"),
+    ("POST", "/configuration/replace", ORDER.replace(b"r9", b"r99999999999999999999"), 400, "revision"),
+])
+def test_bad_calls_are_refused_with_the_place_and_change_nothing(method: str, path: str, body: Any, status: int, place: str) -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        reply = await asked(daemon, method, path, body if isinstance(body, bytes) else json.dumps(body).encode())
+        assert reply.status == status and place in json.loads(reply.body)["error"]
+        assert not daemon.registry.book.entries and not store.said
+
+    with_daemon(story)
