Registries tell whom they are linked to: all meet, and silence is judged by who hears all

Cause (read, then shown by tests): registries that are no seeds never met each other, as each dials seeds only; and beats are told by the registry that got them alone. So a registry that was cut off from one other one only, or had never met it, took that one's backends for silent after 2.5 beats and for gone after 40, and told everybody: gone is for good. Registries that were removed counted for ever among those that most of must be linked, and were dialled for ever. Ruled out: passing beats on (bytes by the square of the registries).

Change: each registry tells the others whom it is linked to, when that changes; who is told of another dials it; silence is judged only while nobody whom others are linked to is missing here; one that nobody is linked to for 30 s is forgotten by a registry in contact, and not dialled any more unless it is a seed. Out of contact for longer than an election a beat's answer names a registry that has it.

--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -28,7 +28,7 @@
 )
 from hedgerow.calls import ConfigurationCalls, Failed, InstanceCalls, Outside, SystemCalls
 from hedgerow.disk import Memory
-from hedgerow.registry import Action, Borne, Confirmed, Log, Registry
+from hedgerow.registry import Action, Borne, Confirmed, Forget, Log, Meet, Registry
 
 log = logbook.Logger("hedgerow")
 
@@ -71,6 +71,7 @@
             [host for host, _ in boot.seeds if host != boot.ip],
             borne,
             values["bounds.contactS"],
+            boot.ip,
         )
         self._registries: dict[str, Dialer] = {}
         self._stores: dict[str, Dialer] = {}
@@ -122,6 +123,14 @@
                 (ip, self._boot.port(PORT)), self._hello, self._heard, self._up, self._down
             )
 
+    def _part(self, ip: str) -> None:
+        """That core machine was removed: it is not dialled any more, unless the settings name it."""
+        if all(ip != host for host, _ in self._boot.seeds):
+            log.info("Registry {} is not there any more.", ip)
+            for dialers in (self._stores, self._registries):
+                if (dialer := dialers.pop(ip, None)) is not None:
+                    dialer.close()
+
     # ---- links
 
     def _up(self, link: Link) -> None:
@@ -240,6 +249,11 @@
                     waiting.set_result(action)
             elif isinstance(action, Log):
                 log.error("{}", action.text)
+            elif isinstance(action, Meet):
+                for ip in action.ips:
+                    self._meet(ip)
+            elif isinstance(action, Forget):
+                self._part(action.ip)
             elif action.to is None:
                 for link in list(self.registry.ingresses):
                     assert isinstance(link, Link)
@@ -272,7 +286,7 @@
                 instance.id,
                 instance.service or "a service that is not known here",
             )
-        ip = self.registry.target(instance.zone)
+        ip = self.registry.target(self._loop.time(), instance.zone)
         if not ip and instance.state == READY and self.registry.away(self._loop.time()):
             return Failed(503, "this registry is cut off from most others: they can't hear of it")
         return f"{ip}:{self._control_port}" if ip else ""
--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -88,7 +88,21 @@
     text: str
 
 
-Action = Tell | Confirmed | Log
+@dataclass(slots=True)
+class Meet:
+    """These registries are there, by others' word: they are to be linked too."""
+
+    ips: list[str]
+
+
+@dataclass(slots=True)
+class Forget:
+    """This registry was removed, as far as anybody knows."""
+
+    ip: str
+
+
+Action = Tell | Confirmed | Log | Meet | Forget
 
 
 @dataclass(slots=True)
@@ -112,7 +126,10 @@
 
 @dataclass(slots=True)
 class _Other:
-    """Another registry. members: the ingresses that are linked to it, by name; contact: it says it has it."""
+    """Another registry. members: the ingresses that are linked to it, by name; contact: it says it has it.
+
+    linked: the registries that it is linked to, by its own word.
+    """
 
     ip: str
     zone: str
@@ -120,6 +137,7 @@
     members: dict[str, Member] = field(default_factory=dict)
     lost_at: float = inf
     contact: bool = False
+    linked: dict[str, str] = field(default_factory=dict)
 
     @property
     def link(self) -> object | None:
@@ -160,10 +178,11 @@
         seeds: Sequence[str] = (),
         borne: Borne | None = None,
         contact_s: float = 3.0,
+        ip: str = "",
     ) -> None:
-        """life: of this process; seeds: addresses of other core machines, as the settings name them."""
+        """life, ip: of this process; seeds: addresses of other core machines, as the settings name them."""
         self.book = Book()
-        self.life, self.zone = life, zone
+        self.life, self.zone, self.ip = life, zone, ip
         self._beat_s, self._contact_s = heartbeat_s, contact_s
         self._borne = borne if borne is not None else Borne()
         self.counts: dict[str, int] = {}  # by instance: the highest number of its calls
@@ -230,16 +249,18 @@
         back = [entry.id for entry in self.book.alive(now, ids)]
         return [Tell(None, Silence([], back))] if back else []
 
-    def target(self, zone: str) -> str:
+    def target(self, now: float, zone: str) -> str:
         """The machine that a backend of this zone should call, by address; nothing if it is this one.
 
-        In contact that is one in the backend's zone, out of contact any one that is in contact.
+        It is one in the backend's zone; out of contact for longer than an election, any one that has it.
         """
-        if self.contact and zone == self.zone:
-            return ""
         there = [o for o in self.others.values() if o.link is not None and o.contact]
         near = [o.ip for o in there if o.zone == zone]
-        return next(iter(near if self.contact else [*near, *(o.ip for o in there)]), "")
+        if not self.contact and now - self.contact_at > OUT_S:
+            near += [o.ip for o in there]
+        elif zone == self.zone:
+            return ""
+        return next(iter(near), "")
 
     # ---- what must last
 
@@ -341,7 +362,24 @@
         if self.config is not None:
             actions.append(Tell(link, self.config))
         actions.append(Tell(link, self._says_contact()))
-        return actions
+        return [*actions, *self._tell_linked()]
+
+    def _tell_linked(self) -> list[Action]:
+        """The others hear whom this one is linked to: so all meet, and a cut is told from a removal."""
+        linked = [other for other in self.others.values() if other.link is not None]
+        told = Registries({other.ip: other.zone for other in linked})
+        return [Tell(other.link, told) for other in linked]
+
+    def _heard_linked(self, link: object, zones: dict[str, str]) -> list[Action]:
+        for other in self.others.values():
+            if link in other.links:
+                other.linked = zones
+        new = [ip for ip in zones if ip != self.ip and ip not in self.others]
+        return [Meet(new)] if new else []
+
+    def _alive_elsewhere(self, ip: str) -> bool:
+        """Not linked here, and linked to one that is."""
+        return any(o.link is not None and ip in o.linked for o in self.others.values())
 
     def _says_contact(self) -> Fresh:
         """What other registries are told."""
@@ -349,13 +387,15 @@
 
     def registry_down(self, now: float, link: object) -> list[Action]:
         """That link has ended."""
-        for other in self.others.values():
-            if link in other.links:
-                other.links.remove(link)
-                other.lost_at = inf if other.links else now
-                other.contact = other.contact and bool(other.links)
         self._owed = [owed for owed in self._owed if owed.link is not link]
-        return []
+        other = next((o for o in self.others.values() if link in o.links), None)
+        if other is None:
+            return []
+        other.links.remove(link)
+        if other.links:
+            return []
+        other.lost_at, other.contact, other.linked = now, False, {}
+        return self._tell_linked()
 
     def ingress_up(self, now: float, link: object, member: Member) -> list[Action]:
         """A link from an ingress: it is told all."""
@@ -501,6 +541,8 @@
                 return self._told_of(now, link, message)
             case InstancesAck():
                 return self._confirmation(now, link, message)
+            case Registries(zones):
+                return self._heard_linked(link, zones)
             case Fresh(fresh):
                 for other in self.others.values():
                     if link in other.links:
@@ -562,7 +604,7 @@
                 self._beaten.clear()
                 actions += [Tell(o.link, beats) for o in self.others.values() if o.link is not None]
             silent_s = inf
-            if self._in_company:
+            if self._hears_all:
                 silent_s = LOST_BEATS * self._beat_s
                 silent = self.book.silenced(now, SILENT_BEATS * self._beat_s)
                 if silent:
@@ -572,20 +614,37 @@
                 actions += self._flood([e.told(now) for e in lost], None)
             for id in [id for id in self.counts if id not in self.book.entries]:
                 del self.counts[id]
-            self._forget_others(now)
+            actions += self._forget_others(now)
             actions += self._tell_members(now)
         return actions
 
-    def _forget_others(self, now: float) -> None:
+    def _forget_others(self, now: float) -> list[Action]:
         """Machines that were removed; one that is cut off has no contact, and takes nobody for that."""
-        if self.contact and now - self.contact_at > LOST_OTHER_S:
-            for other in list(self.others.values()):
-                if other.link is None and now - other.lost_at > LOST_OTHER_S:
-                    del self.others[other.ip]
+        if not self.contact or now - self.contact_at <= LOST_OTHER_S:
+            return []
+        gone = [o.ip for o in self.others.values() if o.link is None and now - o.lost_at > LOST_OTHER_S]
+        gone = [ip for ip in gone if not self._alive_elsewhere(ip)]
+        for ip in gone:
+            del self.others[ip]
+        return [Forget(ip) for ip in gone]
+
+    @property
+    def _hears_all(self) -> bool:
+        """Whom no call came from here calls nobody: only then is silence judged.
+
+        Each registry tells of its own callers only; one that is cut off from here alone has some.
+        """
+        told = {ip for o in self.others.values() if o.link is not None for ip in o.linked}
+        return self._in_company and all(
+            ip == self.ip or (ip in self.others and self.others[ip].link is not None) for ip in told
+        )
 
     @property
     def _in_company(self) -> bool:
-        """Most registries that were met are linked: guards against taking a cut for everybody's silence."""
+        """Most registries that were met are linked: guards against taking a cut for everybody's silence.
+
+        One that has met nobody yet is in company if there is nobody to be met, or by its contact.
+        """
         if not self.others:
             return self.contact or not self._unmet
         linked = sum(o.link is not None for o in self.others.values())
--- a/tests/peers/registries.py
+++ b/tests/peers/registries.py
@@ -95,7 +95,7 @@
         machine.life += 1
         self.moved = True
         seeds = [other for other in list(self.machines)[:3] if other != ip]
-        registry = machine.registry = self.make(self.now, 1.5, machine.life, machine.zone, seeds, self.borne)
+        registry = machine.registry = self.make(self.now, 1.5, machine.life, machine.zone, seeds, self.borne, ip=ip)
         self.do(machine, registry.remembered(self.now, list(machine.disk.values())))
         member = Member(f"e-{ip}", ip, 1, machine.zone, machine.life)
         self.do(machine, registry.ingress_up(self.now, "ingress", member))
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -34,6 +34,7 @@
     Message,
     Read,
     ReadAck,
+    Registries,
     Silence,
     Write,
     WriteAck,
@@ -41,7 +42,7 @@
 )
 from hedgerow.daemon import Daemon
 from hedgerow.disk import Memory
-from hedgerow.registry import Borne, Confirmed, Log, Registry, Tell
+from hedgerow.registry import Borne, Confirmed, Forget, Log, Meet, Registry, Tell
 from pollen.instances import GONE_S, Book, tombstone
 
 IDS = ["i-1", "i-2", "i-3"]
@@ -51,7 +52,7 @@
     return Instance(id, "s", at, "a", 2, state)
 
 
-class Registries(RuleBasedStateMachine):
+class ThreeRegistries(RuleBasedStateMachine):
     """Three registries whose machines die one at a time; each has an ingress that follows it."""
 
     @initialize()
@@ -157,7 +158,7 @@
             assert len(knowing) >= 2 or not all(self.alive.values())
 
 
-TestRegistries = Registries.TestCase
+TestRegistries = ThreeRegistries.TestCase
 TestRegistries.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
 
 
@@ -400,6 +401,7 @@
     (False, 0, (), 1.5, True, ""),  # cut off: the other side hears of it only there
     (False, 1, ("r1",), 9.0, False, "10.0.0.2"),  # one way is left
     (False, 2, ("r2",), 9.0, False, "10.0.0.3"),
+    (False, 2, ("r2",), 0.5, False, ""),  # an election
     (True, 2, ("r1", "r2"), 9.0, False, ""),
 ])
 def test_beats_are_made_where_a_majority_hears_of_them(
@@ -412,7 +414,7 @@
     if not contact:
         registry.primary(0.0, None)
     registry.beat(after, instance("i-1"), 1)
-    assert registry.away(after) == away and registry.target("a") == target
+    assert registry.away(after) == away and registry.target(after, "a") == target
     assert registry.book.entries["i-1"].state == READY  # known whatever the answer
 
 
@@ -505,16 +507,63 @@
     assert not registry.book._at and not registry.book._of
 
 
-def test_a_registry_that_was_removed_is_forgotten_by_one_in_contact_only() -> None:
-    for contact in (True, False):
-        registry = in_contact(others=3)
-        for link in ("r2", "r3"):
-            registry.registry_down(1.0, link)
-        if not contact:
-            registry.primary(1.0, None)
-        for now in (20.0, 40.0):
-            registry.tick(now)
-        assert len(registry.others) == (1 if contact else 3) and registry._in_company == contact
+@pytest.mark.parametrize(("contact", "elsewhere", "left"), [(True, {}, 1), (True, {"10.0.0.3": "c"}, 2), (False, {}, 3)])
+def test_a_registry_that_was_removed_is_forgotten_by_one_in_contact_only(contact: bool, elsewhere: dict[str, str], left: int) -> None:
+    registry, said = in_contact(others=3), []
+    registry.hear(0.0, "r1", Registries(elsewhere))  # one that is linked elsewhere is cut off from here only
+    for link in ("r2", "r3"):
+        registry.registry_down(1.0, link)
+    if not contact:
+        registry.primary(1.0, None)
+    for now in (20.0, 40.0):
+        said += [a.ip for a in registry.tick(now) if isinstance(a, Forget)]
+    assert len(registry.others) == left == 3 - len(said)
+    assert said == [ip for ip in ("10.0.0.3", "10.0.0.4") if ip not in registry.others]
+
+
+def test_backends_that_call_a_registry_which_is_cut_off_from_here_only_are_not_given_up() -> None:
+    registry = in_contact()
+    registry.hear(0.0, "r2", Instances([instance("i-1")]))
+    registry.hear(0.0, "r1", Registries({"10.0.0.1": "a", "10.0.0.3": "c"}))
+    registry.ip = "10.0.0.1"
+    registry.registry_down(1.0, "r2")
+    ticks = [a for s in range(4, 200) for a in registry.tick(s * 0.5) if isinstance(a, Tell)]
+    assert not any(isinstance(a.message, Silence | Instances) for a in ticks) and registry.book.entries["i-1"].state == READY
+    registry.hear(100.0, "r1", Registries({"10.0.0.1": "a"}))  # it has gone there too
+    assert Tell(None, Instances([instance("i-1", GONE)])) in registry.tick(100.5)
+
+
+def test_registries_tell_each_other_whom_they_are_linked_to_so_that_all_meet() -> None:
+    registry = Registry(0.0, 1.5, ip="10.0.0.1")
+    registry.registry_up(0.0, "r1", "10.0.0.2", "b")
+    up = registry.registry_up(0.0, "r2", "10.0.0.3", "c")
+    both = Registries({"10.0.0.2": "b", "10.0.0.3": "c"})
+    assert Tell("r1", both) in up and Tell("r2", both) in up
+    told = Registries({"10.0.0.1": "a", "10.0.0.2": "b", "10.0.0.4": "d"})
+    assert registry.hear(0.0, "r2", told) == [Meet(["10.0.0.4"])]
+    assert registry.registry_down(1.0, "r1") == [Tell("r2", Registries({"10.0.0.3": "c"}))]
+
+
+def test_the_daemon_dials_whom_it_is_told_of_and_drops_whom_nobody_knows(monkeypatch: pytest.MonkeyPatch) -> None:
+    dialled: dict[tuple[str, int], bool] = {}
+
+    class Dialed:
+        def __init__(self, address: tuple[str, int], *_: object) -> None:
+            self.address = address
+            dialled[address] = True
+
+        def close(self) -> None:
+            dialled[self.address] = False
+
+    monkeypatch.setattr("hedgerow.daemon.Dialer", Dialed)
+
+    async def story(daemon: Daemon, store: Stub) -> None:
+        daemon._carry_out([Meet(["10.0.0.4", "10.0.0.2"])])
+        assert {address for address, up in dialled.items() if up} == {(f"10.0.0.{n}", port) for n in (2, 4) for port in (7000, 7001)}
+        daemon._carry_out([Forget("10.0.0.4"), Forget("10.0.0.2")])  # a seed may come back at its address
+        assert {address[0] for address, up in dialled.items() if up} == {"10.0.0.2"} and set(daemon._stores) == {"10.0.0.2"}
+
+    with_daemon(story, seedNodes=["10.0.0.2:80", "10.0.0.1:80"], ipAddress="10.0.0.1")
 
 
 # ---- the disk
