Simulated registries: configurations, and rumours of bodies never in force

Each registry is told by the primary in contact, one that is apart of another body under the next number, which it passes on once it is linked. Checked: who tells its ingress that it is fresh has told it that very configuration, and no older than the primary told; in the end all hold what is in force. Two more planted faults are found: the first body under a number stays (within 200 courses), fresh by contact alone (within 40).

--- a/tests/peers/registries.py
+++ b/tests/peers/registries.py
@@ -1,7 +1,8 @@
 """Registries under simulated links, disks, kills and losses of power; everything from one seed.
 
 Of the store there is only what it tells: it has a primary, some time after more than half of the machines can
-reach each other, and registries that reach it are in contact. A disk keeps what was synced; of the batch that
+reach each other, registries that reach it are in contact, and are told its newest configuration. One that is
+apart may be told of a body that was never in force, under the next number (a rumour). A disk keeps what was synced; of the batch that
 is under way when power goes all is there or nothing. Each registry has an ingress that follows it.
 """
 
@@ -12,7 +13,9 @@
 from random import Random
 from typing import Any
 
-from furrow.messages import DRAINING, GONE, READY, Fresh, Instance, Instances, Member, Message
+import msgspec
+
+from furrow.messages import DRAINING, GONE, READY, Config, Fresh, Instance, Instances, Member, Message, digest_of
 from hedgerow.registry import Borne, Confirmed, Registry, Tell
 from pollen.instances import Book, tombstone
 
@@ -41,6 +44,7 @@
     refuses_until: float = 0.0
     links: dict[str, int] = field(default_factory=dict)  # numbers of links, by the other's address
     follower: Book = field(default_factory=Book)
+    shown: Config | None = None  # the configuration that its ingress was told last
     back_at: float = -99.0  # when its last loss that counts ended
     apart_since: float | None = None  # from more than half of the machines
 
@@ -72,6 +76,7 @@
         self.calls: dict[tuple[str, int, int], Call] = {}
         self.acked: dict[str, int] = {}
         self.refused = self.served = 0
+        self.config: Config | None = None  # the newest in force
         self.moved = True  # machines or ways have changed since that was looked at
         self.states: dict[str, int] = {}  # the highest that a backend itself has said
         for ip in self.machines:
@@ -106,7 +111,7 @@
     def end(self, ip: str) -> None:
         """Its process is killed; what it was writing may be there."""
         machine = self.machines[ip]
-        machine.registry = None
+        machine.registry, machine.shown = None, None
         self.moved = True
         if machine.under_way is not None and self.random.random() < 0.5:
             self.write(machine, machine.under_way)
@@ -123,9 +128,11 @@
             for other in self.machines.values():
                 self.meet(machine, other)
         self.look_for_primary()
-        says = Fresh(True, 0) if self.in_contact(machine.ip) else None
-        if (says is not None) != machine.registry.contact:
-            self.do(machine, machine.registry.primary(self.now, says))
+        contact = self.in_contact(machine.ip)
+        if contact != machine.registry.contact:
+            self.do(machine, machine.registry.primary(self.now, self.fresh if contact else None))
+            if contact:
+                self.from_store(machine, self.config)
         self.do(machine, machine.registry.tick(self.now))
         self.save(machine)
 
@@ -156,6 +163,56 @@
             return apart is not None and had is not None and had.contact and self.now - apart < SILENT_S
         return self.now >= self.primary_from
 
+    # ---- the store
+
+    @property
+    def fresh(self) -> Fresh:
+        return Fresh(True, self.config.version, self.config.digest) if self.config is not None else Fresh(True, 0)
+
+    def order(self) -> None:
+        """The operator's next configuration comes into force, if there is a primary."""
+        if self.now < self.primary_from or not self.majority(self.primary):
+            return
+        version = self.config.version + 1 if self.config is not None else 1
+        self.config = config(version, b'{"v":%d}' % version)
+        for machine in self.machines.values():
+            if machine.registry is not None and machine.registry.contact and self.reach(machine.ip, self.primary):
+                self.from_store(machine, self.config)
+
+    def rumour(self) -> None:
+        """A registry that is apart hears of another body under the next number."""
+        version = self.config.version + 1 if self.config is not None else 1
+        for machine in self.machines.values():
+            if machine.registry is not None and machine.apart_since is not None:
+                self.do(machine, machine.registry.take_config(config(version, b'{"rumour":%d}' % self.random.randint(0, 1))))
+
+    def from_store(self, machine: Machine, told: Config | None) -> None:
+        if told is None:
+            return
+        life, key = machine.life, (machine.ip, -1)
+        when = self.way_free[key] = max(self.now + self.random.uniform(0.001, 0.05), self.way_free.get(key, 0.0))
+
+        def come() -> None:
+            registry = machine.registry
+            if registry is not None and machine.life == life and registry.contact:
+                self.do(machine, registry.take_config(told, True))
+                self.do(machine, registry.primary(self.now, Fresh(True, told.version, told.digest)))
+
+        self.at(when, come)
+
+    def to_ingress(self, machine: Machine, message: Message) -> None:
+        if isinstance(message, Instances):
+            machine.follower.hear(self.now, message.entries)
+        elif isinstance(message, Config):
+            machine.shown = message
+        elif isinstance(message, Fresh) and message.fresh:
+            shown = machine.shown
+            if shown is not None and (shown.version, shown.digest) != (message.version, message.digest):
+                raise Violation(f"{machine.ip} tells r{message.version} as the newest, and its ingress was told r{shown.version}")
+            assert machine.registry is not None and machine.registry._told is not None
+            if message.version < machine.registry._told.version:
+                raise Violation(f"{machine.ip} tells an old configuration as the newest")
+
     # ---- links
 
     def meet(self, a: Machine, b: Machine) -> None:
@@ -203,8 +260,7 @@
                 self.answered(machine, action)
             elif isinstance(action, Tell):
                 if action.to is None or action.to == "ingress":
-                    if isinstance(action.message, Instances):
-                        machine.follower.hear(self.now, action.message.entries)
+                    self.to_ingress(machine, action.message)
                 else:
                     self.send(machine, action.to, action.message)
         if machine.registry is not None and machine.registry.urgent:
@@ -303,6 +359,10 @@
         """Once all are back and linked: nobody has gone back on what was acknowledged, and nothing else is lost."""
         for ip, machine in self.machines.items():
             assert machine.registry is not None
+            if machine.registry.config != self.config:
+                raise Violation(f"{ip} holds {machine.registry.config}, in force is {self.config}")
+            if not machine.registry.fresh or machine.shown != self.config:
+                raise Violation(f"the ingress of {ip} is not told what is in force")
             for id, state in self.acked.items():
                 known = machine.registry.book.entries.get(id)
                 if known is None or known.state < state:
@@ -318,6 +378,10 @@
                     raise Violation(f"{id} is told in two ways")
 
 
+def config(version: int, body: bytes) -> Config:
+    return Config(version, msgspec.Raw(body), digest_of(body))
+
+
 def play(core: Core, seconds: float = 9.0) -> None:
     """One course: backends come, drain and leave; of losses never more at once than are to be borne."""
     random = core.random
@@ -346,7 +410,9 @@
             if random.random() < 0.2:  # right after it, or in the middle of its syncs
                 core.run(random.choice((0.001, 0.004, 0.006, 0.012, 0.03)))
                 everything(core, random.random() < 0.3)
-        elif what < 0.84:
+        elif what < 0.83:
+            core.order()
+        elif what < 0.86:
             everything(core, False)
         elif core.now > busy_until:
             busy_until = core.now + 1.5 + trouble(core, ip) + SYNC_TIME_S
@@ -355,6 +421,8 @@
             core.start(ip)
     core.join()
     core.run(4.0)
+    core.order()
+    core.run(0.5)
     core.check_all_know()
 
 
@@ -408,5 +476,6 @@
                 if other not in near:
                     core.cut(one, other, what != "one way")
         machine.back_at = core.now + lasts
+        core.at(core.now + random.uniform(0.0, lasts), core.rumour)
         core.at(core.now + lasts, core.join)
     return lasts
--- a/tests/system/test_registry_worst_days.py
+++ b/tests/system/test_registry_worst_days.py
@@ -82,7 +82,16 @@
         return super().saved(now, True)
 
 
-PLANTED = [(BeforeTheSecondDisk, 40), (BeforeTheOwnDisk, 120), (BeforeThePeersDisk, 40), (OutOfContact, 200), (InOnePlace, 80),
+class TheFirstBodyStays(Registry):
+    def take_config(self, config, primary=False):
+        return super().take_config(config)
+
+
+class FreshByContact(Registry):
+    fresh = property(lambda self: self.contact)  # type: ignore[assignment]
+
+
+PLANTED = [(TheFirstBodyStays, 200), (FreshByContact, 40), (BeforeTheSecondDisk, 40), (BeforeTheOwnDisk, 120), (BeforeThePeersDisk, 40), (OutOfContact, 200), (InOnePlace, 80),
            (ARepeatIsTakenForKnown, 120), (AStrangerIsGoneOutOfHand, 40), (NoTombstoneIsReadBack, 200), (AFailedSaveCounts, 200)]
 
 
