Registry: dial whom one was linked to, judge no silence alone, r0 refused

Cause: a registry that restarts with seeds that are all gone was found by nobody, as of two seeds only the lower one dials; in contact by its own store it then took everybody for silent, and after 60 s for gone. Now who loses a link dials, and one that has met nobody judges no silence unless the settings name nobody. A folder that can't be synced at all (EINVAL) is left.

--- a/hedgerow/calls.py
+++ b/hedgerow/calls.py
@@ -128,6 +128,8 @@
             found = read_configuration(body)
         if isinstance(found, Refused):
             return refusal(400, str(found))
+        if not found.version:
+            return refusal(400, "revision: 'r0' is below the first, r1")
         failed = await self._registry.put(found.version, body)
         return Reply(200) if failed is None else failed.reply
 
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -118,7 +118,11 @@
             )
         seeds = [host for host, _ in self._boot.seeds]
         dials = self._boot.ip not in seeds or self._boot.ip < ip  # of two seeds the lower one
-        if ip != self._boot.ip and ip not in self._registries and dials:
+        if dials:
+            self._dial(ip)
+
+    def _dial(self, ip: str) -> None:
+        if ip != self._boot.ip and ip not in self._registries:
             self._registries[ip] = Dialer(
                 (ip, self._boot.port(PORT)), self._hello, self._heard, self._up, self._down
             )
@@ -146,6 +150,8 @@
     def _down(self, link: Link) -> None:
         now = self._loop.time()
         self._carry_out([*self.registry.registry_down(now, link), *self.registry.ingress_down(now, link)])
+        if link.peer is not None and link.peer.role == ROLE and not self._closed:
+            self._dial(link.peer.ip)  # it may come back with settings that name nobody who is there
 
     def _heard(self, link: Link, message: Message) -> None:
         self._carry_out(self.registry.hear(self._loop.time(), link, message))
--- a/hedgerow/disk.py
+++ b/hedgerow/disk.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import os
 import sqlite3
 from collections.abc import Iterable
@@ -116,9 +117,15 @@
 
 
 def _sync_folder(folder: Path) -> None:
-    """A name that is new lasts over a loss of power once its folder was synced."""
+    """A name that is new lasts over a loss of power once its folder was synced.
+
+    Some file systems have no such sync; there nothing more can be done.
+    """
     handle = os.open(folder, os.O_RDONLY)
     try:
         os.fsync(handle)
+    except OSError as error:
+        if error.errno not in (errno.EINVAL, errno.ENOTSUP):
+            raise
     finally:
         os.close(handle)
--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -643,9 +643,9 @@
     def _in_company(self) -> bool:
         """Most registries that were met are linked: guards against taking a cut for everybody's silence.
 
-        One that has met nobody yet is in company if there is nobody to be met, or by its contact.
+        One that has met nobody yet is in company only if the settings name nobody else.
         """
         if not self.others:
-            return self.contact or not self._unmet
+            return not self._unmet
         linked = sum(o.link is not None for o in self.others.values())
         return linked * 2 >= len(self.others)
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -38,7 +38,9 @@
     Silence,
     Write,
     WriteAck,
+    decode,
     digest_of,
+    encode,
 )
 from hedgerow.daemon import Daemon
 from hedgerow.disk import Memory
@@ -379,6 +381,24 @@
     assert Tell("e", Instances([instance("i-1", GONE)])) in registry.hear(1.0, "e", Instances([instance("i-1")]))
 
 
+def test_saves_go_one_at_a_time_each_with_all_that_has_changed_by_then() -> None:
+    registry = in_contact()
+
+    def drain(n: int) -> None:
+        registry.beat(0.0, instance(f"i-{n}", DRAINING, f"a{n}"), 1)
+
+    drain(0)
+    first = registry.take_save(0.0)
+    for n in range(1, 50):
+        drain(n)
+    assert first is not None and len(first.entries) == 1 and registry.take_save(0.0) is None
+    registry.saved(0.01, True)
+    second = registry.take_save(0.01)
+    assert second is not None and len(second.entries) == 49 and registry.saved(0.02, True) == []
+    confirmed = [registry.hear(0.03, "r1", InstancesAck(n, 7, True)) for n in range(1, 51)]
+    assert confirmed == [[Confirmed(n, True)] for n in range(1, 51)]
+
+
 # ---- contact
 
 
@@ -422,8 +442,10 @@
     registry = Registry(0.0, 1.5, seeds=["10.0.0.2"])
     registry.remembered(0.0, [instance("i-1")])
     assert not [a for s in range(1, 200) for a in registry.tick(s * 0.5) if isinstance(a, Tell)]
-    registry.primary(100.0, Fresh(True, 0))
-    assert Tell(None, Silence(["i-1"], [])) in registry.tick(100.5)
+    registry.primary(100.0, Fresh(True, 0))  # its own store has found the others, and it has not: they may hear i-1
+    assert not [a for s in range(202, 400) for a in registry.tick(s * 0.5) if isinstance(a, Tell)]
+    registry.registry_up(200.0, "r", "10.0.0.2", "b")
+    assert Tell(None, Silence(["i-1"], [])) in registry.tick(200.5)
 
 
 # ---- the configuration
@@ -562,8 +584,14 @@
         assert {address for address, up in dialled.items() if up} == {(f"10.0.0.{n}", port) for n in (2, 4) for port in (7000, 7001)}
         daemon._carry_out([Forget("10.0.0.4"), Forget("10.0.0.2")])  # a seed may come back at its address
         assert {address[0] for address, up in dialled.items() if up} == {"10.0.0.2"} and set(daemon._stores) == {"10.0.0.2"}
+        lower = Stub()
+        lower.peer = Hello("hedgerow", "lower", "10.0.0.0", "c", 4)
+        daemon._up(lower)
+        assert not dialled.get(("10.0.0.0", 7000))  # of two seeds the lower one dials
+        daemon._down(lower)
+        assert dialled["10.0.0.0", 7000]  # its next life may not know of anybody
 
-    with_daemon(story, seedNodes=["10.0.0.2:80", "10.0.0.1:80"], ipAddress="10.0.0.1")
+    with_daemon(story, seedNodes=["10.0.0.2:80", "10.0.0.1:80", "10.0.0.0:80"], ipAddress="10.0.0.1")
 
 
 # ---- the disk
@@ -657,6 +685,19 @@
     with_daemon(story)
 
 
+@pytest.mark.parametrize("body", [ORDER + b" \r\n", b"\n\t" + ORDER, ORDER.replace(b", ", b" ,\n "), ORDER.replace(b"name", "n\u00e4me".encode())])
+def test_the_digest_is_that_of_the_bytes_that_the_store_reads_off_the_wire(body: bytes) -> None:
+    async def story(daemon: Daemon, store: Stub) -> None:
+        call = asyncio.create_task(daemon.put(9, body))
+        await turns()
+        read = decode(encode(store.said[0]))
+        assert isinstance(read, Write) and read.digest == digest_of(read.body) and json.loads(bytes(read.body)) == json.loads(body)
+        daemon._store_says(store, WriteAck(1, True, life=7))
+        assert await call is None
+
+    with_daemon(story)
+
+
 @pytest.mark.parametrize("ends", ["link", "primary"])
 def test_calls_end_at_once_with_their_link_and_out_of_contact(ends: str) -> None:
     async def story(daemon: Daemon, store: Stub) -> None:
@@ -751,6 +792,7 @@
     ("POST", "/configuration/replace", b'{"revision": "r9", "rou', 400, "body"),
     ("POST", "/configuration/replace", b'[1]', 400, "body"),
     ("POST", "/configuration/replace", ORDER.replace(b"r9", b"r-9"), 400, "revision"),
+    ("POST", "/configuration/replace", ORDER.replace(b"r9", b"r0"), 400, "revision"),  # it could not be told from none
     ("POST", "/configuration/replace", ORDER.replace(b"r9", b"r99999999999999999999"), 400, "revision"),
 ])
 def test_bad_calls_are_refused_with_the_place_and_change_nothing(method: str, path: str, body: Any, status: int, place: str) -> None:
