--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -13,6 +13,7 @@
 from furrow.calls import CallServer
 from furrow.link import Address, Dialer, Link, Listener
 from furrow.messages import (
+    GONE,
     READY,
     Config,
     Fresh,
@@ -228,7 +229,8 @@
             self._read = True
             self._carry_out(self.registry.remembered(self._loop.time(), entries))
             if entries:
-                log.info("Remembers {} backends.", len(entries))
+                gone = sum(entry.state == GONE for entry in entries)
+                log.info("Remembers {} backends, and {} that are gone.", len(entries) - gone, gone)
 
         if not self._closed:
             self._loop.run_in_executor(self._writer, self._memory.open).add_done_callback(opened)
