--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -21,7 +21,7 @@
 sys.path[:0] = [str(Path(__file__).parent.parent)]
 
 from furrow.messages import Config, Instance, Instances, Member, encode  # noqa: E402
-from hedgerow.registry import Confirmed, Registry  # noqa: E402
+from hedgerow.registry import Registry, Tell  # noqa: E402
 
 ZONES, BEAT_S, BODY = 4, 1.5, b'{"revision":"r1","filler":"' + b"x" * 5000 + b'"}'
 START_S, CALM_S, END_S = 3.0, 10.0, 12.0
@@ -33,7 +33,7 @@
     def __init__(self, ingresses: int) -> None:
         self.now, self.number = 0.0, 0
         self.queue: list[tuple[float, int, Any]] = []
-        self.registries = [Registry(0.0, BEAT_S) for _ in range(ZONES)]
+        self.registries = [Registry(0.0, BEAT_S, ip=f"r{n}") for n in range(ZONES)]
         self.bytes = {"followers": 0, "registries": 0}
         self.cpu = 0.0
         self.heard: dict[str, float] = {}  # what reached the last ingress, and when
@@ -77,7 +77,7 @@
     def do(self, n: int, actions: list[Any]) -> None:
         registry = self.registries[n]
         for action in actions:
-            if isinstance(action, Confirmed):
+            if not isinstance(action, Tell):
                 continue
             size = len(encode(action.message)) + 8
             if isinstance(action.to, int):
--- a/tests/system/test_registry_worst_days.py
+++ b/tests/system/test_registry_worst_days.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+from pathlib import Path
 
 import pytest
 from registries import Core, Violation, play
+from whole import Backend, Whole, call, good, until
 
 from furrow.messages import GONE, InstancesAck
+from hedgerow.disk import Memory
 from hedgerow.registry import Borne, Confirmed, Registry, Tell
 
 SCHEDULES = int(os.environ.get("REGISTRY_SCHEDULES", "600"))  # in all; more by hand
@@ -100,3 +104,37 @@
     with pytest.raises(Violation):
         for seed in range(within):
             play(site(seed, fault))
+
+
+def test_what_the_real_programs_acknowledged_lies_on_two_disks_and_nobody_is_brought_back(tmp_path: Path) -> None:
+    async def story() -> None:
+        w = Whole(tmp_path)
+        try:
+            await w.start()
+            assert await w.put() == 200
+            backend = Backend("i-1", good)
+            await backend.start()
+            await until(lambda: all(sum(o.link is not None for o in r.registry.others.values()) == 2 for r in w.registries.values()))
+            assert await w.beat(backend) == 200
+            assert await w.beat(backend, "draining", 2, w.core[1]) == 200
+            for id in ("i-1", "i-never"):
+                async with asyncio.timeout(10):
+                    while (await call(w.control(w.core[2]), "POST", f"/instances/{id}/deregister"))[0] != 200:
+                        await asyncio.sleep(0.01)
+            for ip in w.core:
+                w.registries.pop(ip).close()
+            kept = {}
+            for ip in w.core:
+                memory = Memory(tmp_path / ip)
+                kept[ip] = {entry.id: entry.state for entry in memory.open() or []}
+                memory.close()
+            assert all(sum(disk.get(id) == GONE for disk in kept.values()) >= 2 for id in ("i-1", "i-never"))
+            for ip in w.core:
+                await w.start_registry(ip)
+            await w.beat(backend, "available", 1)
+            await until(lambda: all({e.state for e in r.registry.book.entries.values()} == {GONE} and len(r.registry.book.entries) == 2
+                                    for r in w.registries.values()))
+        finally:
+            await w.close()
+
+    asyncio.run(asyncio.wait_for(story(), 50))
