--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -306,7 +306,8 @@
             "node": self._boot.name,
             "primary": name,
             "droppedAnswers": {"store": self._dropped, "registries": self.registry.dropped},
-            **self.registry.status(self._loop.time()),
+            "contactSinceS": round(self._loop.time() - self.registry.contact_at, 1),
+            **self.registry.status(),
         }
 
     def _primary(self) -> Link | None:
--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -446,7 +446,7 @@
         self._told_members = found
         return [Tell(None, Members(changed, gone))] if changed or gone else []
 
-    def status(self, now: float) -> dict[str, object]:
+    def status(self) -> dict[str, object]:
         """What is known here, for operators."""
         services: dict[str, dict[str, int]] = {}
         for entry in self.book.entries.values():
@@ -461,7 +461,6 @@
             "version": self.config.version if self.config is not None else 0,
             "digest": self.config.digest if self.config is not None else "",
             "contact": self.contact,
-            "contactSinceS": round(now - self.contact_at, 1),
             "fresh": self.fresh,
             "tombstones": sum(entry.state == GONE for entry in self.book.entries.values()),
             "registries": {o.ip: o.link is not None for o in self.others.values()},
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -366,7 +366,7 @@
         registry.beat(0.2, instance("i-9", state), count)
         # a peer that was away says what it knows, and is told the rest
         assert Tell("r2", Instances([tombstone("i-9")])) in registry.hear(0.3, "r2", Instances([instance("i-9", state)]))
-    assert registry.book.entries["i-9"].state == GONE and registry.book.services() == [] and registry.status(1.0)["services"] == {}
+    assert registry.book.entries["i-9"].state == GONE and registry.book.services() == [] and registry.status()["services"] == {}
     again = Registry(0.0, 1.5)
     again.remembered(0.0, batch.entries)
     again.hear(1.0, "r", Instances([instance("i-9")]))
@@ -410,8 +410,8 @@
     number, actions = registry.beat(1.1, instance("i-2", GONE), -1)
     assert Confirmed(number, False) in actions and registry.book.entries["i-2"].state == GONE
     assert {a.to for a in actions if isinstance(a, Tell) and isinstance(a.message, Instances)} == {"r1", "r2", None}
-    found = registry.status(3.5)
-    assert (found["contact"], found["contactSinceS"], found["fresh"]) == (False, 2.5, False)
+    found = registry.status()
+    assert (found["contact"], found["fresh"], registry.contact_at) == (False, False, 1.0)
 
 
 @pytest.mark.parametrize(("contact", "linked", "others_contact", "after", "away", "target"), [
@@ -678,7 +678,7 @@
             await turns()
             assert not call.done()
         status = json.loads((await asked(daemon, "GET", "/system/status")).body)
-        assert status["droppedAnswers"] == {"store": 4, "registries": 0} and status["contact"] is True and status["primary"] == "store"
+        assert status["droppedAnswers"] == {"store": 4, "registries": 0} and status["contact"] is True and status["contactSinceS"] < 20 and status["primary"] == "store"
         daemon._store_says(store, WriteAck(1, True, life=7))
         assert (await call).status == 200
 
