Registry: a store that steps down still answers; only a link's end ends its calls

Cause: Fresh(False) ended calls under way, though a store that takes another backup is active again after a tenth of a second and answers a read then. Met as one 503 of describe in a whole run of tests/system on a busy machine (line 132 of test_three_programs; whether by this way is not shown).

--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -158,12 +158,15 @@
         self._carry_out(self.registry.hear(self._loop.time(), link, message))
 
     def _store_down(self, link: Link) -> None:
-        """That store's link has ended, or it is not the primary any more: its calls fail at once."""
-        if not link.open:
-            self._contested.pop(link, None)
+        """That store's link has ended: its calls fail at once."""
+        self._contested.pop(link, None)
         for call in self._calls.values():
             if call.link is link and not call.answer.done():
                 call.answer.set_result(None)
+        self._leads_no_more(link)
+
+    def _leads_no_more(self, link: Link) -> None:
+        """What that store was asked before it may still answer, often after a tenth of a second."""
         if self._fresh.pop(link, None) is not None:
             self._told_contact()
 
@@ -186,7 +189,7 @@
                     self._carry_out(self.registry.take_config(contested, True))
                 self._told_contact()
             case Fresh():
-                self._store_down(link)
+                self._leads_no_more(link)
             case Config():
                 self._contested.pop(link, None)
                 held, leads = self.registry.config, link is self._primary()
