--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -97,10 +97,11 @@
 
     async def start(self, control: Address, inner: Address) -> tuple[Address, Address]:
         """Open both doors; gives their addresses."""
-        await asyncio.wait([self._remind()], timeout=DISK_S)
+        read = self._remind()
         bound = await self._listener.listen(inner)
         for host, _ in self._boot.seeds:
             self._meet(host)
+        await asyncio.wait([read], timeout=DISK_S)  # others are met meanwhile
         outside = await self._outside.listen(control)
         self._control_port = outside[1]
         self._tick()
--- a/tests/system/test_registry.py
+++ b/tests/system/test_registry.py
@@ -772,6 +772,29 @@
     with_daemon(story, dataDirectory=str(tmp_path))
 
 
+def test_others_are_met_while_the_disk_is_still_read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    dialled: list[tuple[str, int]] = []
+    monkeypatch.setattr("hedgerow.daemon.Dialer", lambda address, *_: dialled.append(address))
+
+    async def story(daemon: Daemon, store: Stub) -> None:
+        go = threading.Event()
+        daemon._memory.open = lambda: [tombstone("i-1")] if go.wait(10) else None  # type: ignore[method-assign]
+        starting = asyncio.create_task(daemon.start(("127.0.0.1", 0), ("127.0.0.1", 0)))
+        try:
+            async with asyncio.timeout(5):
+                while not dialled:
+                    await asyncio.sleep(0)
+            assert not starting.done() and not daemon.registry.book.entries
+        finally:
+            go.set()
+        await starting
+        assert daemon.registry.book.entries["i-1"].state == GONE
+        daemon._registries.clear()
+        daemon._stores.clear()
+
+    with_daemon(story, dataDirectory=str(tmp_path), seedNodes=["10.0.0.2:80", "10.0.0.1:80"])
+
+
 GOOD = {"service": "s", "address": "10.0.0.9:80"}
 
 
