--- a/espalier/reader.py
+++ b/espalier/reader.py
@@ -8,7 +8,7 @@
 
 from espalier.routes import Table, pick
 from tamarindfold.interface import BackendId, Outcome, RequestArrived, RequestWaited
-from troutdock.engine import BadRequest
+from troutdock.engine import BadRequest, Manners
 from troutdock.http.bodies import SMALL
 from troutdock.http.request import HOP_BY_HOP, Headers, HttpRequest, Message, forwarded_head, once
 from troutdock.http.response import Response
@@ -22,6 +22,7 @@
 METHODS = frozenset(
     (b"GET", b"POST", b"PUT", b"PATCH", b"DELETE")
 )  # HEAD's answers have lengths and no bodies
+PROMISES = (408, 429, 503)  # to a client they say that its request has not run and never will
 _KEPT_BACK = HOP_BY_HOP | {b"content-length"}
 
 
@@ -29,6 +30,8 @@
     """A request, and its form for the backend that it goes to."""
 
     __slots__ = ("_instance_of",)
+    # only Not-Executed and 421 say that nothing has run: a request that was sent in part may have
+    manners = Manners(whole_first=False, names_request=True, silence_ends=False)
 
     def __init__(
         self,
@@ -123,8 +126,10 @@
 def verdict(attempt: HttpAttempt | None, response: Response) -> Outcome | None:
     """What an answer means; None: it is an earlier request's, come late, and the attempt's is still to come.
 
-    Only Not-Executed and 421 say that nothing has run. A success without the backend's stamp, or in a coding
-    that nobody asked for, is not the backend's answer, and its request may have run.
+    Only Not-Executed and 421 say that nothing has run, and only of the request that the answer names: one
+    that names none may be anybody's. A success without the backend's stamp, in a coding that nobody asked
+    for, or one that says it has not run, is not the backend's answer, and its request may have run. Neither
+    is a refusal without Not-Executed: passed on, it would promise what nobody has said.
     """
     headers = response.headers
     id = headers.get(b"attempt-id")
@@ -135,16 +140,23 @@
         and id != attempt.owner.request.id
     ):
         return None
+    status = response.status
+    if id is None:
+        return Outcome.RESET
+    if 200 <= status < 300:
+        sound = (
+            b"response-signature" in headers
+            and b"content-encoding" not in headers
+            and b"not-executed" not in headers
+        )
+        return Outcome.OK if sound else Outcome.RESET
     if b"not-executed" in headers:
         return Outcome.FULL
-    if response.status == 421:
+    if status == 421:
         return Outcome.MOOT
-    if 200 <= response.status < 300:
-        sound = b"response-signature" in headers and b"content-encoding" not in headers and id is not None
-        return Outcome.OK if sound else Outcome.RESET
-    if 400 <= response.status < 500 and response.status not in (408, 421, 429):
-        return Outcome.OK  # the backend's own answer to what was asked
-    return Outcome.ERROR
+    if status in PROMISES:
+        return Outcome.RESET
+    return Outcome.ERROR if status >= 500 else Outcome.OK  # the backend's own answer to what was asked
 
 
 def passes(answer: Response) -> tuple[tuple[bytes, bytes], ...]:
--- /dev/null
+++ b/tests/system/test_proxy_outcomes.py
@@ -0,0 +1,547 @@
+"""The proxy's table of outcomes: every way in which a backend's answer can be late, double, early, broken or missing.
+
+Each row is played against requests that may and may not be repeated, on a new and on a kept connection, with a sound
+second backend beside it and with one that does the same. For each it is told whether the request ran (as the backends
+saw it), what the client got, and how often it was sent. The rules that every row is held to are in `broken_rules`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from itertools import product
+from typing import Any
+
+import uvloop
+from scripted import Asker, Conn, Got, Script, Scripted, Seen, answer, good
+
+from almanac.boot import boot_of
+from espalier.daemon import Ingress
+from pollen.instances import Entry
+
+AT_ONCE = 24  # runs beside each other
+LONG = b"x" * 1_000_000  # more than lies in the kernel between two sockets, as scripted.py makes them
+SHORT_MS = 400  # the deadline where nothing else ends a request
+
+# what a row's answer is, by what the pages say of it
+SERVED = "a good answer, whole: the client's as it came"
+OWN = "the backend's own answer, which is no success: the client's as it came, or another attempt's where that is harmless"
+NEVER = "proven not to have run: a second backend may have it"
+MAYBE = "nothing is proven: it is sent on only where repeating it is harmless"
+CUT = "a long answer that ends early: it has begun at the client, and is cut there"
+EITHER = "the connection ends about the time the request is written: NEVER or MAYBE, as it falls"
+
+
+@dataclass(frozen=True)
+class Row:
+    """script: what the backend does with the request; before: with its kept connection, at_door: with a new one."""
+
+    script: Script
+    kind: str
+    status: int = 200
+    body: bytes | None = None  # of the client's answer; None: what a sound backend says to this request
+    kept: tuple[bool, ...] = (False, True)
+    long: bool = False
+    deadline_ms: int = 5000
+    before: Callable[[Conn], Awaitable[None]] | None = None
+    at_door: Callable[[Conn], Awaitable[None]] | None = None
+    warm: Script = good  # the answer that leaves a kept connection
+    idle_s: float = 0.1  # how long that has stood
+    same_id: bool = False  # the request before it had the same
+    moved: bool | None = None  # whether a request that finds a kept connection goes on another one
+
+
+Act = Callable[[Conn, Seen], Awaitable[None]]
+
+
+def after_whole(*acts: Act) -> Script:
+    """The request is read whole, and runs; then these, one after the other."""
+    async def script(conn: Conn) -> None:
+        seen = await conn.whole()
+        for act in acts:
+            await act(conn, seen)
+    return script
+
+
+def after_head(*acts: Act) -> Script:
+    """The same before any of the body is read."""
+    async def script(conn: Conn) -> None:
+        seen = await conn.head()
+        for act in acts:
+            await act(conn, seen)
+    return script
+
+
+def unread(*acts: Act) -> Script:
+    """The same before any byte is read, once some are there."""
+    async def script(conn: Conn) -> None:
+        seen = Seen("", {})
+        for act in acts:
+            await act(conn, seen)
+    return script
+
+
+def says(*args: Any, **more: Any) -> Act:
+    async def act(conn: Conn, seen: Seen) -> None:
+        await conn.send(answer(seen, *args, **more))
+    return act
+
+
+def part(upto: int | bytes, *args: Any, **more: Any) -> Act:
+    """The beginning of an answer: so many bytes of it, or up to these."""
+    async def act(conn: Conn, seen: Seen) -> None:
+        data = answer(seen, *args, **more)
+        await conn.send(data[:upto] if isinstance(upto, int) else data[:data.index(upto) + len(upto)])
+    return act
+
+
+def raw(data: bytes) -> Act:
+    async def act(conn: Conn, seen: Seen) -> None:
+        await conn.send(data)
+    return act
+
+
+async def reset(conn: Conn, seen: Seen) -> None:
+    conn.reset()
+
+
+async def close(conn: Conn, seen: Seen) -> None:
+    conn.close()
+
+
+async def silence(conn: Conn, seen: Seen) -> None:
+    await conn.gone()
+    conn.over = True
+
+
+async def then_given_up(conn: Conn, seen: Seen) -> None:
+    """The proxy has to end it by itself."""
+    await silence(conn, seen)
+
+
+def both(*acts: Act) -> Act:
+    """Their bytes in one segment."""
+    async def act(conn: Conn, seen: Seen) -> None:
+        class Gather:
+            data = b""
+
+            async def send(self, data: bytes) -> None:
+                self.data += data
+
+        gather = Gather()
+        for each in acts:
+            await each(gather, seen)  # type: ignore[arg-type]
+        await conn.send(gather.data)
+    return act
+
+
+async def close_idle(conn: Conn) -> None:
+    conn.close()
+
+
+async def reset_idle(conn: Conn) -> None:
+    await conn.leave()
+    conn.reset()
+
+
+async def reset_at_door(conn: Conn) -> None:
+    conn.reset()
+
+
+async def unasked(conn: Conn) -> None:
+    await conn.send(answer(Seen("", {"attempt-id": "unasked", "x-nonce": "unasked"})))
+
+
+async def unasked_decline(conn: Conn) -> None:
+    await conn.send(answer(Seen("", {}), 503, "Not-Executed: 1", id=None, stamp=False))
+
+
+async def interim(conn: Conn) -> None:
+    await conn.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+STALE = "0123456789abcdef"  # another request's id
+NE = "Not-Executed: 1"
+LONG_BODY = bytes(range(256)) * 600  # passed on as it comes
+HEAD_END = b"\r\n\r\n"
+
+ROWS: dict[str, Row] = {
+    # sound answers
+    "good": Row(good, SERVED, moved=False),
+    "good chunked": Row(after_whole(says(chunked=True)), SERVED),
+    "good, and the connection closes": Row(after_whole(says(200, "Connection: close"), close), SERVED),
+    "good, without a length to the end": Row(after_whole(says(200, "Connection: close", length=None), close), SERVED),
+    "good of another 2xx": Row(after_whole(says(201)), SERVED, 201),
+    "good of an unknown 2xx": Row(after_whole(says(299)), SERVED, 299),
+    "good and long": Row(after_whole(says(body=LONG_BODY)), SERVED, body=LONG_BODY),
+    "good and long, chunked": Row(after_whole(says(body=LONG_BODY, chunked=True)), SERVED, body=LONG_BODY),
+    "good and long, of another 2xx": Row(after_whole(says(201, body=LONG_BODY)), SERVED, 201, body=LONG_BODY),
+    "204": Row(after_whole(says(204, body=b"", length=None)), SERVED, 204, b""),
+    "204 with a length of nought": Row(after_whole(says(204, body=b"")), SERVED, 204, b""),
+    "204 with a length": Row(after_whole(says(204, body=b"", length=5)), SERVED, 204, b""),
+    "204 and a body behind it": Row(after_whole(says(204, body=b"hello", length=5)), SERVED, 204, b""),
+    "204 and a body behind it, later": Row(after_whole(says(204, body=b"", length=5), raw(b"hello")), SERVED, 204, b""),
+    "204 in chunks": Row(after_whole(says(204, "Transfer-Encoding: chunked", body=b"", length=None), raw(b"0\r\n\r\n")), SERVED, 204, b""),
+    "304": Row(after_whole(says(304, body=b"", length=None)), SERVED, 304, b""),
+    "304 with a length": Row(after_whole(says(304, body=b"", length=7)), SERVED, 304, b""),
+    "304 and a body behind it": Row(after_whole(says(304, body=b"hello")), SERVED, 304, b""),
+    # interim answers
+    "100 first": Row(after_whole(raw(b"HTTP/1.1 100 Continue\r\n\r\n"), says()), SERVED),
+    "103 first": Row(after_whole(raw(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"), says()), SERVED),
+    "several interim": Row(after_whole(*[raw(b"HTTP/1.1 %d X\r\nX: y\r\n\r\n" % n) for n in (100, 102, 103, 103)], says()), SERVED),
+    "interim in one segment with it": Row(after_whole(both(raw(b"HTTP/1.1 103 X\r\n\r\n"), says())), SERVED),
+    "interim with a length": Row(after_whole(raw(b"HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\n"), says()), SERVED),
+    "interim that says Not-Executed": Row(after_whole(raw(b"HTTP/1.1 103 X\r\nNot-Executed: 1\r\n\r\n"), close), MAYBE),
+    "interim and a close": Row(after_whole(raw(b"HTTP/1.1 100 Continue\r\n\r\n"), close), MAYBE),
+    "interim and a reset": Row(after_whole(raw(b"HTTP/1.1 100 Continue\r\n\r\n"), reset), MAYBE),
+    "interim and silence": Row(after_whole(raw(b"HTTP/1.1 100 Continue\r\n\r\n"), silence), MAYBE, deadline_ms=SHORT_MS),
+    "interim without end": Row(after_whole(raw(b"HTTP/1.1 103 X\r\nX: y\r\n\r\n" * 2000), then_given_up), MAYBE),
+    "interim ahead of the request": Row(good, SERVED, kept=(True,), before=interim),
+    "101": Row(after_whole(raw(b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), then_given_up), MAYBE),
+    "a status below 100": Row(after_whole(raw(b"HTTP/1.1 099 X\r\nContent-Length: 5\r\n\r\nhello"), says()), MAYBE),
+    "a status of nought": Row(after_whole(raw(b"HTTP/1.1 000 X\r\n\r\n"), then_given_up), MAYBE),
+    # missing
+    "reset, no byte read": Row(unread(reset), MAYBE),
+    "reset, the head read": Row(after_head(reset), MAYBE),
+    "reset, the body half read": Row(after_head(reset), MAYBE, long=True),
+    "close, the body half read": Row(after_head(close), MAYBE, long=True),
+    "silence, the body half read": Row(after_head(lambda conn, seen: asyncio.Event().wait()), MAYBE, long=True, deadline_ms=1500),  # type: ignore[arg-type,return-value]
+    "reset at the door": Row(good, EITHER, kept=(False,), at_door=reset_at_door),
+    "close at the door": Row(good, EITHER, kept=(False,), at_door=close_idle),
+    "reset after the request": Row(after_whole(reset), MAYBE),
+    "close after the request": Row(after_whole(close), MAYBE),
+    "silence": Row(after_whole(silence), MAYBE, deadline_ms=SHORT_MS),
+    # broken
+    "close in the status line": Row(after_whole(part(7), close), MAYBE),
+    "reset in the status line": Row(after_whole(part(7), reset), MAYBE),
+    "close in the head": Row(after_whole(part(40), close), MAYBE),
+    "reset in the head": Row(after_whole(part(40), reset), MAYBE),
+    "silence in the head": Row(after_whole(part(40), silence), MAYBE, deadline_ms=SHORT_MS),
+    "close after the head": Row(after_whole(part(HEAD_END), close), MAYBE),
+    "reset after the head": Row(after_whole(part(HEAD_END), reset), MAYBE),
+    "silence after the head": Row(after_whole(part(HEAD_END), silence), MAYBE, deadline_ms=SHORT_MS),
+    "close in the body": Row(after_whole(part(b"whole "), close), MAYBE),
+    "reset in the body": Row(after_whole(part(b"whole "), reset), MAYBE),
+    "silence in the body": Row(after_whole(part(b"whole "), silence), MAYBE, deadline_ms=SHORT_MS),
+    "close in a chunk": Row(after_whole(part(b"wh", chunked=True), close), MAYBE),
+    "close between chunks": Row(after_whole(part(b"who\r\n", chunked=True), close), MAYBE),
+    "close before the last chunk": Row(after_whole(part(b"\r\n0", chunked=True), close), MAYBE),
+    "silence in a chunk": Row(after_whole(part(b"wh", chunked=True), silence), MAYBE, deadline_ms=SHORT_MS),
+    "reset of a body without a length": Row(after_whole(part(b"whole ", 200, "Connection: close", length=None), reset), MAYBE),
+    "no length and no close": Row(after_whole(says(length=None), close), MAYBE),
+    "long, cut by a close": Row(after_whole(part(90_000, body=LONG_BODY), close), CUT),
+    "long, cut by a reset": Row(after_whole(part(90_000, body=LONG_BODY), reset), CUT),
+    "long and chunked, cut by a close": Row(after_whole(part(90_000, body=LONG_BODY, chunked=True), close), CUT),
+    "long, without a length, cut by a reset": Row(after_whole(part(90_000, 200, "Connection: close", body=LONG_BODY, length=None), reset), CUT),
+    "long, with a spoilt chunk": Row(after_whole(part(90_000, body=LONG_BODY, chunked=True), raw(b"\r\nzz\r\n"), then_given_up), CUT),
+    "long, and silence": Row(after_whole(part(90_000, body=LONG_BODY), silence), CUT, deadline_ms=SHORT_MS),
+    # no answers
+    "garbage": Row(after_whole(raw(b"SSH-2.0-nonsense\r\n"), then_given_up), MAYBE),
+    "a request for an answer": Row(after_whole(raw(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"), then_given_up), MAYBE),
+    "an endless head": Row(after_whole(raw(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 70_000), then_given_up), MAYBE),
+    "a status of two digits": Row(after_whole(raw(b"HTTP/1.1 20 X\r\n\r\n"), then_given_up), MAYBE),
+    "a space before the colon": Row(after_whole(raw(b"HTTP/1.1 200 X\r\nContent-Length : 0\r\n\r\n"), then_given_up), MAYBE),
+    # framing
+    "a length and chunks": Row(after_whole(says(200, "Content-Length: 5", chunked=True), then_given_up), MAYBE),
+    "two lengths, equal": Row(after_whole(says(200, "Content-Length: 5", body=b"hello"), then_given_up), MAYBE),
+    "two lengths, different": Row(after_whole(says(200, "Content-Length: 4", body=b"hello"), then_given_up), MAYBE),
+    "a list of lengths": Row(after_whole(says(200, "Content-Length: 5, 5", body=b"hello", length=None), then_given_up), MAYBE),
+    "a length that is no number": Row(after_whole(says(200, "Content-Length: +5", body=b"hello", length=None), then_given_up), MAYBE),
+    "a length beyond the body": Row(after_whole(says(length=500), close), MAYBE),
+    "a length short of the body": Row(after_whole(says(body=b"hello", length=4)), SERVED, body=b"hell"),
+    "another coding": Row(after_whole(says(200, "Transfer-Encoding: gzip, chunked", length=None), then_given_up), MAYBE),
+    "a chunk's size is no number": Row(after_whole(raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), then_given_up), MAYBE),
+    "a chunk longer than its size": Row(after_whole(raw(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokok\r\n0\r\n\r\n"), then_given_up), MAYBE),
+    "a trailer that says Not-Executed": Row(after_whole(both(part(b"\r\n0\r\n", chunked=True), raw(b"Not-Executed: 1\r\n\r\n"))), SERVED),
+    "a trailer that names another request": Row(after_whole(both(part(b"\r\n0\r\n", chunked=True), raw(b"Attempt-Id: x\r\n\r\n"))), SERVED),
+    "the stamp only in a trailer": Row(after_whole(both(part(b"\r\n0\r\n", stamp=False, chunked=True), raw(b"Response-Signature: s\r\n\r\n"))), MAYBE),
+    "long, and a trailer that names another": Row(after_whole(both(part(b"\r\n0\r\n", body=LONG_BODY, chunked=True), raw(b"Attempt-Id: x\r\n\r\n"))), SERVED, body=LONG_BODY),
+    # more than an answer
+    "garbage behind it": Row(after_whole(both(says(), raw(b"garbage"))), SERVED),
+    "garbage behind it, later": Row(after_whole(says(), raw(b"garbage")), SERVED),
+    "the answer twice": Row(after_whole(both(says(), says())), SERVED),
+    "the answer twice, later": Row(after_whole(says(), says()), SERVED),
+    "a decline behind the answer": Row(after_whole(both(says(), says(503, NE))), SERVED),
+    "an answer behind a decline": Row(after_whole(both(says(503, NE), says(body=b"other"))), NEVER),
+    "close, and more": Row(after_whole(both(says(200, "Connection: close"), says(body=b"other"))), SERVED),
+    "close, and garbage later": Row(after_whole(says(200, "Connection: close"), raw(b"garbage"), close), SERVED),
+    # another's answer
+    "a stale answer, then its own": Row(after_whole(says(id=STALE, body=b"stale"), says()), SERVED),
+    "a stale answer and its own at once": Row(after_whole(both(says(id=STALE, body=b"stale"), says())), SERVED),
+    "a stale answer and garbage at once": Row(after_whole(both(says(id=STALE, body=b"stale"), raw(b"garbage")), then_given_up), MAYBE),
+    "a stale answer and half of its own at once": Row(after_whole(both(says(id=STALE, body=b"stale"), part(40)), close), MAYBE),
+    "a stale decline, then its own": Row(after_whole(says(503, NE, id=STALE), says()), SERVED),
+    "a stale 421, then its own": Row(after_whole(says(421, id=STALE), says()), SERVED),
+    "a stale answer, then a close": Row(after_whole(says(id=STALE), close), MAYBE),
+    "a stale answer that closes": Row(after_whole(says(200, "Connection: close", id=STALE), close), MAYBE),
+    "a stale answer, then silence": Row(after_whole(says(id=STALE), silence), MAYBE, deadline_ms=SHORT_MS),
+    "a long stale answer, then its own": Row(after_whole(says(id=STALE, body=LONG_BODY), says()), SERVED),
+    "two stale answers, then its own": Row(after_whole(says(id=STALE), says(id=STALE + "0"), says()), SERVED),
+    "the last request's answer again": Row(good, SERVED, kept=(True,), same_id=True, moved=True),
+    "the wrong id alone": Row(after_whole(says(id=STALE), then_given_up), MAYBE, deadline_ms=SHORT_MS),
+    "two ids": Row(after_whole(says(200, "Attempt-Id: " + STALE), then_given_up), MAYBE, deadline_ms=SHORT_MS),
+    "no id": Row(after_whole(says(id=None)), MAYBE),
+    "no id, declined": Row(after_whole(says(503, NE, id=None)), MAYBE),
+    "no id, 421": Row(after_whole(says(421, id=None)), MAYBE),
+    "no id, 404": Row(after_whole(says(404, id=None)), MAYBE),
+    "no id, 500": Row(after_whole(says(500, id=None)), MAYBE),
+    # early
+    "200 ahead of the body": Row(after_head(says()), SERVED, long=True),
+    "404 ahead of the body": Row(after_head(says(404)), SERVED, 404, long=True),
+    "500 ahead of the body": Row(after_head(says(500)), OWN, 500, long=True),
+    "declined ahead of the body": Row(after_head(says(503, NE)), NEVER, long=True),
+    "declined ahead of the body, and a close": Row(after_head(says(503, NE, "Connection: close"), close), NEVER, long=True),
+    "half an answer ahead of the body, and a reset": Row(after_head(part(b"whole "), reset), MAYBE, long=True),
+    "garbage ahead of the body": Row(after_head(raw(b"garbage\r\n"), then_given_up), MAYBE, long=True),
+    "a stale answer ahead of the body, and a reset": Row(after_head(says(id=STALE), reset), MAYBE, long=True),
+    "an interim one ahead of the body, and a reset": Row(after_head(raw(b"HTTP/1.1 100 X\r\n\r\n"), reset), MAYBE, long=True),
+    "an answer at the door": Row(good, EITHER, kept=(False,), at_door=unasked),
+    "a decline at the door": Row(good, EITHER, kept=(False,), at_door=unasked_decline),
+    "an answer on an idle connection": Row(good, SERVED, kept=(True,), before=unasked, moved=True),
+    "a decline on an idle connection": Row(good, SERVED, kept=(True,), before=unasked_decline, moved=True),
+    "an answer as the request comes": Row(unread(raw(answer(Seen("", {"attempt-id": STALE}))), reset), MAYBE),
+    "a decline without an id as the request comes": Row(unread(raw(answer(Seen("", {}), 503, NE, id=None)), silence), MAYBE, deadline_ms=SHORT_MS),
+    # kept connections
+    "forgotten by the backend": Row(unread(reset), MAYBE, kept=(True,), idle_s=0.5, moved=False),
+    "closed just before": Row(good, SERVED, kept=(True,), before=close_idle, moved=True),
+    "reset just before": Row(good, SERVED, kept=(True,), before=reset_idle, moved=True),
+    "closes as the request comes": Row(unread(close), MAYBE, kept=(True,), moved=False),
+    "Keep-Alive has run out": Row(good, SERVED, kept=(True,), warm=after_whole(says(200, "Keep-Alive: timeout=1")), idle_s=1.2, moved=True),
+    "Keep-Alive of nought": Row(good, SERVED, kept=(True,), warm=after_whole(says(200, "Keep-Alive: timeout=0")), moved=True),
+    "Keep-Alive has not run out": Row(good, SERVED, kept=(True,), warm=after_whole(says(200, "Keep-Alive: timeout=10, max=5")), idle_s=1.2, moved=False),
+    "Connection: close before": Row(good, SERVED, kept=(True,), warm=after_whole(says(200, "Connection: close")), moved=True),
+    # declines
+    **{f"{status} Not-Executed": Row(after_whole(says(status, NE)), NEVER) for status in (503, 429, 421, 400, 500)},
+    "503 Not-Executed, and a close": Row(after_whole(says(503, NE, "Connection: close"), close), NEVER),
+    "200 Not-Executed": Row(after_whole(says(200, NE)), MAYBE),
+    "421": Row(after_whole(says(421)), NEVER),
+    "503 Not-Executed, cut": Row(after_whole(part(b"whole ", 503, NE), close), MAYBE),
+    # the backend's own
+    **{f"{status} of the backend": Row(after_whole(says(status)), SERVED, status) for status in (301, 400, 404, 409, 499)},
+    **{f"{status} of the backend": Row(after_whole(says(status)), OWN, status) for status in (500, 502, 504, 599)},
+    **{f"{status} of the backend, which promises what it does not say": Row(after_whole(says(status)), MAYBE) for status in (503, 429, 408)},
+    "an unknown status beyond 599": Row(after_whole(says(799)), MAYBE),
+    "200 without a stamp": Row(after_whole(says(stamp=False)), MAYBE),
+    "200 in a coding": Row(after_whole(says(200, "Content-Encoding: gzip")), MAYBE),
+}
+
+
+@dataclass
+class Run:
+    """One way through a row."""
+
+    name: str
+    row: Row
+    mutating: bool
+    kept: bool
+    alone: bool  # the second backend does the same
+    number: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.name} ({'mutating' if self.mutating else 'read_only'}, {'kept' if self.kept else 'new'}, {'alone' if self.alone else 'beside a sound one'})"
+
+    @property
+    def host(self) -> str:
+        return f"h{self.number}.example"
+
+    def request(self, nonce: str, *headers: str, id: str = "", body: bytes = b"") -> bytes:
+        method = "POST" if self.mutating or body else "GET"
+        lines = [f"{method} /x?y=1 HTTP/1.1", f"Host: {self.host}", f"Attempt-Id: {id or nonce}", f"X-Nonce: {nonce}",
+                 f"Deadline-Ms: {self.row.deadline_ms}", *headers]
+        if method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+@dataclass
+class Result:
+    """What came of a run."""
+
+    run: Run
+    got: Got
+    sent: int  # times that a backend has read its head
+    ran: int
+    elsewhere: int  # of the sent, to the second backend
+    broken: list[str]
+
+
+def runs(names: Iterable[str] = ROWS) -> list[Run]:
+    found = [Run(name, ROWS[name], mutating, kept, alone)
+             for name in names for mutating, kept, alone in product((True, False), ROWS[name].kept, (False, True))]
+    for number, run in enumerate(found):
+        run.number = number
+    return found
+
+
+def configuration(of: list[Run]) -> bytes:
+    routes = [[f"r{run.number}", run.host, "/", "mutating" if run.mutating else "read_only", 5,
+               4 if run.row.deadline_ms == 5000 else run.row.deadline_ms / 4000, 2, True, f"s{run.number}"] for run in of]
+    return json.dumps({
+        "revision": "r1", "routes": {"columns": ["name", "hostname", "pathPrefix", "routeType", "timeoutS", "targetLatencyS",
+                                                 "maxAttempts", "public", "service"], "rows": routes},
+        "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [[f"s{run.number}", "/health", 100] for run in of]},
+    }).encode()
+
+
+async def proxy(of: list[Run]) -> tuple[Ingress, tuple[str, int]]:
+    """An ingress with these routes, without any other program."""
+    ip = f"127.{20 + os.getpid() % 200}.7.1"
+    boot = boot_of({"nodeName": "n", "ipAddress": ip, "zone": "z", "internalPortRange": [1, 3], "bindAddresses": {}, "seedNodes": [],
+                    "bootstrap": True, "heartbeatS": 0.5, "dataDirectory": None})
+    ingress = Ingress(boot, "nowhere", 1)
+    ingress._decides.mesh = None
+    ingress.transport.stale = lambda idle_s: None  # type: ignore[method-assign]  # rows would teach each other to distrust connections
+    ingress._configure(1, configuration(of))
+    address = ingress.server.listen((ip, 0), hold=True)
+    ingress._open()
+    ingress._sweep()
+    ingress._sample()
+    return ingress, address
+
+
+def introduce(ingress: Ingress, run: Run, name: str, backend: Scripted, speed: float) -> int:
+    """The ingress knows the backend, and how quick it is: the quicker one is asked first."""
+    now = asyncio.get_running_loop().time()
+    id = f"{name}{run.number}"
+    ingress._instances([Entry(id, f"s{run.number}", "{}:{}".format(*backend.address), "z", 2, 0, 0.0, now, now)])
+    number = ingress._numbers[id]
+    ingress.fabric.backends[number].speed = speed
+    return number
+
+
+async def play(ingress: Ingress, address: tuple[str, int], run: Run) -> Result:
+    row = run.row
+    first = Scripted(row.script, row.long)
+    second = Scripted(row.script if run.alone else good, row.long)
+    client = Asker(address)
+    after = Asker(address)
+    try:
+        await first.start()
+        await second.start()
+        number = introduce(ingress, run, "i-first-", first, 1.0)
+        introduce(ingress, run, "i-second-", second, 2.5)
+        pool = ingress.fabric.pools[ingress._pools[f"s{run.number}"]]
+        pool.further = 5.0
+        await client.open()
+        nonce = f"n{run.number}"
+        if run.kept:
+            first.normal = row.warm
+            warm = await client.ask(run.request("warm" + nonce, id=nonce if row.same_id else ""))
+            assert warm.status == 200 and len(first.seen) == 1, (str(run), warm)
+            first.normal = good
+            for connection in ingress.transport.pools.of[number].idle:
+                connection.idle_since -= row.idle_s
+            if row.before is not None:
+                await row.before(first.conns[0])
+        first.armed, first.at_door = True, row.at_door
+        if run.alone:
+            second.armed, second.at_door = True, row.at_door
+        got = await client.ask(run.request(nonce, body=LONG if row.long else b"pay"))
+        pool.further = 5.0
+        broken = broken_rules(run, got, first, second)
+        # whoever comes next gets its own answer, on the client's connection and on whatever was kept to backends
+        first.armed = second.armed = False
+        last = after if not got.whole or got.headers.get("connection") == "close" else client
+        if last is after:
+            await after.open()
+        follow = await last.ask(run.request("follow" + nonce, "Connection: close"))
+        if 200 <= follow.status < 300 and (follow.body != b"whole follow" + nonce.encode() or not follow.whole):
+            broken.append(f"MIXED: the next request got {follow.body[:40]!r}")
+        elif follow.status in (0, 421, 408) or (not row.long and row.kind in (SERVED, OWN, NEVER) and follow.status == 0):
+            broken.append(f"the next request got {follow.status}")
+        if extra := await last.more():
+            broken.append(f"MIXED: {extra[:60]!r} without a request")
+        seen = [each for each in (*first.seen, *second.seen) if each.nonce == nonce]
+        return Result(run, got, len(seen), sum(each.ran for each in seen), sum(each.nonce == nonce for each in second.seen), broken)
+    finally:
+        for asker in (client, after):
+            if hasattr(asker, "writer"):
+                asker.close()
+        await first.stop()
+        await second.stop()
+
+
+def broken_rules(run: Run, got: Got, first: Scripted, second: Scripted) -> list[str]:
+    """The rules of the pages, and then what the row says."""
+    row, nonce = run.row, f"n{run.number}"
+    seen = [each for each in (*first.seen, *second.seen) if each.nonce == nonce]
+    ran, sent, elsewhere = sum(each.ran for each in seen), len(seen), sum(each.nonce == nonce for each in second.seen)
+    broken: list[str] = []
+
+    def holds(rule: str, true: bool) -> None:
+        if not true:
+            broken.append(f"{rule}: {got.status} {'whole' if got.whole else 'cut'} {got.body[:30]!r}, sent {sent}, ran {ran}, elsewhere {elsewhere}")
+
+    own = b"whole " + nonce.encode() if row.body is None else row.body
+    success = 200 <= got.status < 300
+    holds("UNASKED", all(each.line.split(" ", 1)[1] == "/x?y=1 HTTP/1.1" and (not each.whole or each.body in (b"pay", LONG)) for each in seen))
+    holds("MIXED", not success or not got.whole or (got.body in (own, b"whole " + nonce.encode()) and got.headers.get("response-signature") == f"s-{nonce}"
+                                                    and got.headers.get("attempt-id") == nonce))
+    holds("no answer", got.status != 0)
+    holds("a length with no body", got.status not in (204, 304) or "content-length" not in got.headers)
+    if run.mutating:
+        holds("TWICE", ran <= 1)
+        holds("REFUSED", got.status not in (408, 421, 429, 503) or not ran)
+    holds("sent too often", sent <= 2 and sent - elsewhere <= 1)
+    beside = not run.alone
+    if row.kind == SERVED:
+        holds("row", got.whole and got.status == row.status and got.body == own and (sent, elsewhere) == (1, 0))
+    elif row.kind == CUT:
+        holds("row", got.status == 200 and not got.whole and (sent, elsewhere) == (1, 0))
+    elif row.kind == OWN and run.mutating:
+        holds("row", got.whole and got.status == row.status and got.body == own and (sent, elsewhere) == (1, 0))
+    elif row.kind == NEVER and run.mutating and run.alone:
+        holds("row", got.whole and got.status == 429 and (sent, elsewhere) == (2, 1) and not ran)
+    elif row.kind == MAYBE and run.mutating:
+        holds("row", got.whole and got.status in (502, 504) and elsewhere == 0)
+    elif beside:  # repeated where that is harmless
+        holds("row", got.whole and got.status in ((200, 502) if row.kind == EITHER and run.mutating else (200,))
+              and (got.status != 200 or (got.body == b"whole " + nonce.encode() and (elsewhere == 1 or row.kind == EITHER))))
+    else:
+        holds("row", got.whole and not (success and row.kind != EITHER))
+    if run.kept and row.moved is not None:
+        taken = [conn.number for conn in first.conns]
+        holds("the kept connection is used again" if row.moved else "the kept connection is not used",
+              (len(taken) == 1) is not row.moved)
+    return broken
+
+
+async def played(of: list[Run]) -> list[Result]:
+    ingress, address = await proxy(of)
+    room, long_room = asyncio.Semaphore(AT_ONCE), asyncio.Semaphore(2)
+
+    async def one(run: Run) -> Result:
+        async with long_room if run.row.long else room:
+            try:
+                async with asyncio.timeout(12):
+                    return await play(ingress, address, run)
+            except (TimeoutError, AssertionError) as error:
+                return Result(run, Got(), -1, -1, -1, [f"hangs or fails: {error!r}"])
+
+    try:
+        results = await asyncio.gather(*map(one, of))
+        async with asyncio.timeout(5):
+            while ingress.engine.open:
+                await asyncio.sleep(0)
+        return list(results)
+    finally:
+        ingress.server.leave()
+        ingress.server._listener.close()
+        ingress.engine.close()
+        ingress.transport.close()
+
+
+def table(names: Iterable[str] = ROWS) -> list[Result]:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(asyncio.wait_for(played(runs(names)), 60))
+
+
+def test_every_row_keeps_the_rules() -> None:
+    results = table()
+    print(Counter((result.run.mutating, result.got.status, result.got.whole, result.sent, result.ran) for result in results))
+    broken = [f"{result.run}: {each}" for result in results for each in result.broken]
+    assert not broken, "\n".join([f"{len(broken)} in {len(results)} runs", *broken])
--- a/troutdock/engine/__init__.py
+++ b/troutdock/engine/__init__.py
@@ -6,8 +6,8 @@
     Answer, Clock, Counter, Exchange, FleetListener, Flow, Ledger, PlanBook, Reports, StreamingExchange,
     Timer, Timers, Transport,
 )
-from troutdock.engine.request import BadRequest, Request
+from troutdock.engine.request import BadRequest, Manners, Request
 
 __all__ = ["Answer", "Attempt", "BadRequest", "Call", "Clock", "Counter", "Engine", "Exchange", "Failure",
-           "FleetListener", "Flow", "Ledger", "PlanBook", "Reports", "Request", "StreamingExchange", "Tally",
-           "Timer", "Timers", "Transport"]
+           "FleetListener", "Flow", "Ledger", "Manners", "PlanBook", "Reports", "Request",
+           "StreamingExchange", "Tally", "Timer", "Timers", "Transport"]
--- a/troutdock/engine/request.py
+++ b/troutdock/engine/request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, ClassVar, NamedTuple
 
 from tamarindfold.interface import BackendId, RequestArrived
 
@@ -15,6 +15,19 @@
         self.status, self.reason = status, reason
 
 
+class Manners(NamedTuple):
+    """What the backends' protocol promises of requests and answers, beyond its framing.
+
+    whole_first: nobody begins to work on a request before its last byte is there, so that one which broke
+    off on its way has not run. names_request: answers name the request that they belong to, and may come
+    again. silence_ends: an answer that stops midway may be given up before its request's time is over.
+    """
+
+    whole_first: bool = True
+    names_request: bool = False
+    silence_ends: bool = True
+
+
 class Request:
     """A request that has come whole and makes sense; each front makes its own kind.
 
@@ -25,6 +38,7 @@
     """
 
     __slots__ = ("arrival", "id", "repeatable", "timeout_ms")
+    manners: ClassVar[Manners] = Manners()
 
     def __init__(self, id: bytes, arrival: RequestArrived, repeatable: bool) -> None:
         self.id, self.arrival, self.repeatable = id, arrival, repeatable
--- a/troutdock/http/exchange.py
+++ b/troutdock/http/exchange.py
@@ -112,7 +112,9 @@
             raise RuntimeError("a second answer to one request")
         self.call = None  # nothing is left to withdraw, and no cycle for the collector
         self.release()
-        self.reply = self._head(status, ((b"Content-Length", b"%d" % len(body)), *headers))
+        # RFC 9110, 8.6: 204 has none, and with 304 it would be another answer's
+        framing = () if status in (204, 304) else ((b"Content-Length", b"%d" % len(body)),)
+        self.reply = self._head(status, (*framing, *headers))
         if len(body) > MAX_BODY:
             self.body = body  # not copied, as it may be large
         else:
--- a/troutdock/http/response.py
+++ b/troutdock/http/response.py
@@ -22,10 +22,6 @@
     """The peer sent what is no response, or one past the bounds."""
 
 
-class _Surplus(Exception):
-    """More has come than belongs to the response."""
-
-
 @dataclass(slots=True)
 class Response:
     """A whole response."""
@@ -45,22 +41,24 @@
 class ResponseReader:
     """Feed it what a connection brings; it gives each response once that is whole."""
 
-    __slots__ = ("_body", "_done", "_headers", "_headers_done", "_max_body", "_parser", "_pending", "_size",
-                 "_until_end", "streams")
+    __slots__ = ("_body", "_done", "_headers", "_headers_done", "_in_message", "_max_body", "_parser",
+                 "_pending", "_size", "_until_end", "spoilt", "streams")
 
     def __init__(self, max_body: int) -> None:
         self.streams = False  # a long good response may be taken in pieces
         self._parser: Any = httptools.HttpResponseParser(self)
         self._max_body = max_body
-        self._done: Response | None = None
+        self._done: list[Response] = []
         self._pending = 0  # bytes of heads since the last response
+        self.spoilt = False  # what came behind whole responses is none
         self._headers_done = self._until_end = False
         self.on_message_begin()
+        self._in_message = False
 
     @property
     def begun(self) -> bool:
-        """Bytes have come of a response that is not whole."""
-        return self._headers_done or self._pending > 0
+        """Bytes have come of a response that is not whole; a whole interim one counts for nothing."""
+        return self._in_message
 
     @property
     def long(self) -> bool:
@@ -68,7 +66,11 @@
         if not (self._headers_done and self.streams and self._size >= STREAM_FROM):
             return False
         length = self._headers.get(b"content-length")
-        return self._parser.get_status_code() == 200 and (length is None or int(length) > MAX_BODY)
+        return self._streamable and (length is None or int(length) > MAX_BODY)
+
+    @property
+    def _streamable(self) -> bool:
+        return 200 <= int(self._parser.get_status_code()) < 300
 
     def head(self) -> Response:
         """The response that is coming, without its body."""
@@ -86,16 +88,29 @@
         What stands behind a whole response takes nothing from it, but nobody can tell what that is: the
         response then says that the connection is of no further use.
         """
+        done = self.feed_all(data)
+        if not done:
+            return None
+        if len(done) > 1 or self.spoilt or self._in_message:
+            done[0].keep_alive = False
+        return done[0]
+
+    def feed_all(self, data: bytes) -> list[Response]:
+        """All responses that these bytes complete, for who can tell whose they are.
+
+        BadResponse where these bytes are no response and complete none; spoilt where they do and what stands
+        behind is none.
+        """
         if not self._headers_done:
             self._pending += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if self._done is None:
+            if not self._done:
                 raise BadResponse(repr(error.__context__ or error)) from error
-            self._done.keep_alive = False
-        done, self._done = self._done, None
-        if done is not None:
+            self.spoilt = True
+        done, self._done = self._done, []
+        if done:
             self._pending = 0
         elif not self._headers_done and self._pending > MAX_HEAD:
             raise BadResponse(f"a head of over {MAX_HEAD} bytes")
@@ -115,19 +130,22 @@
     # ---- called by the parser
 
     def on_message_begin(self) -> None:
-        if self._done is not None:
-            raise _Surplus
+        self._in_message = True
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
         self._size, self._headers_done, self._until_end = 0, False, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headers_done:
+            return  # a trailer takes nothing back of what the head has said (RFC 9110, 6.5.1)
         name, value = name.lower(), value.strip(b" \t")
         before = self._headers.get(name)
         self._headers[name] = value if before is None else before + b", " + value
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
+        if not 100 <= status < 600:
+            raise BadResponse(f"a status of {status}")
         if status < 200:
             return
         self._headers_done = True
@@ -147,8 +165,7 @@
 
     @property
     def _bound(self) -> int:
-        streams = self.streams and self._parser.get_status_code() == 200
-        return MAX_STREAMED if streams else self._max_body
+        return MAX_STREAMED if self.streams and self._streamable else self._max_body
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
@@ -159,6 +176,10 @@
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
         if status >= 200:  # an interim response is followed by the real one
-            self._done = Response(status, self._headers, b"".join(self._body),
-                                  self._parser.should_keep_alive())
-        self._headers_done = False
+            keep = self._parser.should_keep_alive()
+            if status in (204, 304):  # its head ends it, but who has said otherwise may still send a body
+                length = self._headers.get(b"content-length", b"0") if status == 204 else b"0"
+                keep = keep and length.strip(b"0") == b"" and b"transfer-encoding" not in self._headers
+            self._done.append(Response(status, self._headers, b"".join(self._body), keep))
+            self._body = []
+        self._headers_done = self._in_message = False
--- a/troutdock/http/transport.py
+++ b/troutdock/http/transport.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 from collections import deque
 from collections.abc import Callable, Iterator
@@ -12,7 +13,7 @@
 
 from tamarindfold.interface import BackendId, FleetUpdate, Outcome
 from troutdock.address import Address
-from troutdock.engine import Attempt, Flow
+from troutdock.engine import Attempt, Flow, Manners
 from troutdock.http.age import received_ago_ms
 from troutdock.http.pools import Pools
 from troutdock.http.request import Message
@@ -34,6 +35,8 @@
 IDLE_LESS, IDLE_MORE = 0.8, 1.02  # what a stale connection and a good answer do to that time
 IDLE_PROOF_S = 10.0  # for so long one that served after standing idle proves that others of its age can
 IDLE_PART = 0.6  # of the backends' idle limit: a connection idle for longer is dropped, well before they do
+_KEEP_ALIVE = re.compile(rb"(?:^|[,;\s])timeout=(\d{1,6})", re.I)
+_USUAL = Manners()
 
 
 class HttpAttempt(Attempt):
@@ -52,6 +55,16 @@
         self.connection: Connection | None = None
         self.opening: asyncio.Task[None] | None = None  # only while that can be cancelled
 
+    @property
+    def manners(self) -> Manners:
+        """What may be taken for granted of the backend."""
+        return self.owner.request.manners if self.owner is not None else _USUAL
+
+    @property
+    def name(self) -> bytes:
+        """What answers name it by; nothing where they don't."""
+        return self.owner.request.id if self.owner is not None and self.manners.names_request else b""
+
 
 Ended = Callable[[HttpAttempt, Outcome, Response | None], None]
 Verdict = Callable[[HttpAttempt | None, Response], Outcome | None]
@@ -94,10 +107,13 @@
         self.pool, self.sock = pool, sock
         self.attempt: HttpAttempt | None = None
         self.idle_since = 0.0  # nought before its first answer
+        self.keep_s = inf  # it may stand idle for so long, by the backend's last word
+        self.last = b""  # the name of the request that it carried last: its answer may come again
         self._started = 0.0  # when the attempt was written
         self._first = 0.0  # when the first bytes of its answer came, if the last did not come with them
         self._reader = ResponseReader(pool.max_answer)
-        self._written = False
+        self._sent = self._written = False  # a byte of the request may have left; all of it has
+        self._answering = False  # a byte has come since
         self._closed = False
         self._surplus = False  # an answer has come that belongs to no request
         self._streaming = self._paused = False  # passed on as it comes; not read for now
@@ -110,19 +126,24 @@
         self._transport.set_write_buffer_limits(high=0)
 
     def start(self, attempt: HttpAttempt) -> None:
-        """Write the request; from its last byte on it may run."""
+        """Write the request; from its last byte on it may run, from its first where nobody says otherwise."""
         self.attempt, attempt.connection = attempt, self
+        self.last = attempt.name
         self._reader.streams = attempt.streams
         self._streaming, self._first = False, 0.0
         self._started = asyncio.get_running_loop().time()
-        self._written = False
-        if isinstance(attempt.message, bytes):
-            self._transport.write(attempt.message)
+        self._sent = self._written = self._answering = False
+        pieces = attempt.message
+        if isinstance(pieces, bytes):
+            pieces = (pieces,)
         else:
             # a backend begins with the last byte, and when it has read that can't be seen here
             attempt.lag_ms = inf
-            for piece in attempt.message:
-                self._transport.write(piece)
+        for piece in pieces:
+            self._transport.write(piece)
+            if self._transport.is_closing():
+                break
+            self._sent = True
         self._written = self._transport.get_write_buffer_size() == 0 and not self._transport.is_closing()
 
     def resume_writing(self) -> None:
@@ -141,48 +162,66 @@
         return False  # closed, or bytes that nobody asked for
 
     def data_received(self, data: bytes) -> None:
+        self._answering = True
         try:
-            response = self._reader.feed(data)
+            responses = self._reader.feed_all(data)
             if self.attempt is None:
                 raise BadResponse("bytes without a request")
         except BadResponse as error:
-            log.warning("backend %s: %s", self.pool.endpoint, error)
-            self.close()
-            self._broken()
+            self._spoilt(error)
             return
         if self._stalled is not None:
             self._stalled.cancel()
             self._stalled = None
-        if response is not None:
-            if self.pool.lag.notable and self.attempt is not None:
+        for number, response in enumerate(responses, 1):
+            if self.pool.lag.notable and number == 1:
                 # guards against taking this process's own lateness for the backend's slowness
                 self.attempt.lag_ms += received_ago_ms(self.sock)
             # an answer before the request's last byte leaves a connection nobody can use again
             self._came()
             outcome = self.pool.verdict(self.attempt, response)
             if outcome is not None:
-                whole = response.keep_alive and self._written and not self._surplus
+                more = number < len(responses) or self._reader.begun or self._reader.spoilt
+                whole = response.keep_alive and self._written and not self._surplus and not more
                 self._conclude(outcome, response, whole)
-            elif response.keep_alive:
-                self._surplus, self._first = True, 0.0  # what belongs to no request: the attempt's is to come
-            else:
+                return
+            if not response.keep_alive:
                 self.close()
                 self._broken()
+                return
+            self._surplus, self._first = True, 0.0  # what belongs to no request: the attempt's is to come
+        if self._reader.spoilt:
+            self._spoilt(BadResponse("no response behind one of another request"))
+            return
+        if not self._reader.begun:  # an interim response, or another's: the backend is at work
+            self._first = 0.0
             return
         if not self._first:
             self._first = asyncio.get_running_loop().time()
-        if self.attempt is not None and self._reader.long:
+        if self._reader.long:
             if not self._streaming:
-                if self.pool.verdict(self.attempt, self._reader.head()) is not Outcome.OK:
-                    return self._watch()  # not its own, or no good one: it is looked at when it is whole
-                self._streaming = True
-                self._came()
-                if not self.pool.streams.answer_began(self.attempt, self._reader.head(), self):
-                    self.close()  # another answer is the client's
+                outcome = self.pool.verdict(self.attempt, self._reader.head())
+                if outcome is None:
+                    self._reader.take()  # another's, of which nobody needs to hold the body
+                elif outcome is not Outcome.OK:
+                    self.close()  # what its head says of it holds whatever follows
+                    self._conclude(outcome, None, False)
                     return
-            self.pool.streams.answer_more(self.attempt, self._reader.take())
+                else:
+                    self._streaming = True
+                    self._came()
+                    if not self.pool.streams.answer_began(self.attempt, self._reader.head(), self):
+                        self.close()  # another answer is the client's
+                        return
+            if self._streaming:
+                self.pool.streams.answer_more(self.attempt, self._reader.take())
         self._watch()
 
+    def _spoilt(self, error: BadResponse) -> None:
+        log.warning("backend %s: %s", self.pool.endpoint, error)
+        self.close()
+        self._broken()
+
     def _came(self) -> None:
         """From the answer's first bytes on the work was done, and its way took the rest."""
         if self.attempt is not None and self._first:
@@ -190,9 +229,20 @@
 
     def _watch(self) -> None:
         """Guards against a length that does not fit: the rest never comes, and the connection stays open."""
+        attempt = self.attempt
         if not (self._paused or self._closed) and self._stalled is None:
-            once = self.attempt is not None and not self.attempt.repeatable
-            after_s = STREAM_STALL_S if self._streaming else ONCE_STALL_S if once else STALL_S
+            patient = attempt is not None and not attempt.manners.silence_ends
+            if self._streaming:
+                after_s = STREAM_STALL_S
+                if patient and attempt is not None:  # its deadline holds for its beginning only, elsewhere
+                    left_s = (attempt.owner.give_up - attempt.started) / 1000
+                    after_s = max(after_s, self._started + left_s - asyncio.get_running_loop().time())
+            elif attempt is not None and not attempt.repeatable:
+                if patient:
+                    return  # nothing else can be tried: until its deadline
+                after_s = ONCE_STALL_S
+            else:
+                after_s = STALL_S
             self._stalled = asyncio.get_running_loop().call_later(after_s, self._stall)
 
     def pause(self) -> None:
@@ -216,6 +266,10 @@
         self.close()
         self._broken()
 
+    def eof_received(self) -> None:
+        """No more will come; a request that is still being written has nobody who reads it."""
+        self.connection_lost(None)
+
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is None and not self._closed and (response := self._reader.ended()) is not None:
             self._came()
@@ -227,11 +281,17 @@
         self._reader.close()
 
     def _broken(self) -> None:
-        """The connection is of no more use: what was under way may have run once it was written whole."""
-        if self.attempt is not None and self.idle_since and not self._reader.begun:
+        """The connection is of no more use: what was under way may have run once it was written whole.
+
+        With an answer begun, or where backends may begin earlier: from its first byte on.
+        """
+        if self.attempt is not None and self.idle_since and not self._answering:
             self.pool.reset_after(self._started - self.idle_since,
                                   asyncio.get_running_loop().time() - self._started)
-        self._conclude(Outcome.RESET if self._written else Outcome.CONNECT_FAILED, None, False)
+        may_run = self._written
+        if self.attempt is not None and not may_run:
+            may_run = self._sent and (self._answering or not self.attempt.manners.whole_first)
+        self._conclude(Outcome.RESET if may_run else Outcome.CONNECT_FAILED, None, False)
 
     def _conclude(self, outcome: Outcome, response: Response | None, reusable: bool) -> None:
         attempt, self.attempt = self.attempt, None
@@ -241,6 +301,10 @@
             if reusable:
                 self._transport.resume_reading()
         if reusable:
+            assert response is not None
+            word = response.headers.get(b"keep-alive")
+            found = _KEEP_ALIVE.search(word) if word is not None else None
+            self.keep_s = int(found[1]) * IDLE_PART if found is not None else inf
             self.pool.answered(self._started - self.idle_since if self.idle_since else 0.0)
             self.pool.offer(self)
         else:
@@ -273,7 +337,7 @@
         """Write the attempt on the connection used last, or on a new one."""
         attempt.pool = self
         doubtful = not attempt.repeatable and self._backends.use_s < IDLE_DOUBT_S
-        if not doubtful and (connection := self._rested()) is not None:
+        if not doubtful and (connection := self._rested(attempt)) is not None:
             connection.start(attempt)
             return
         self.waiting.append(attempt)
@@ -284,13 +348,18 @@
             # guards the limit on sockets: without one the connection never comes up
             asyncio.get_running_loop().call_soon(self._not_up, attempt)
 
-    def _rested(self) -> Connection | None:
-        """The connection used last among those that may be used again."""
+    def _rested(self, attempt: HttpAttempt) -> Connection | None:
+        """The connection used last among those that may be used again.
+
+        Not one that carried a request of the same name: that one's answer, come again, would pass for this
+        one's.
+        """
         now = asyncio.get_running_loop().time()
         self.drop_idle(now - self._backends.use_s)
+        name = attempt.name
         for connection in list(reversed(self.idle)):
-            if connection.idle_since <= now - REST_S:
-                if connection.usable():
+            if connection.idle_since <= now - REST_S and not (name and name == connection.last):
+                if connection.idle_since + connection.keep_s >= now and connection.usable():
                     self.idle.remove(connection)
                     return connection
                 connection.close()
@@ -353,7 +422,7 @@
             asyncio.get_running_loop().call_later(REST_S + 0.001, self._serve_waiting)
 
     def _serve_waiting(self) -> None:
-        while self.waiting and (connection := self._rested()) is not None:
+        while self.waiting and (connection := self._rested(self.waiting[0])) is not None:
             connection.start(self.waiting.popleft())
         if self.retired:
             self.retire()
