Proxy's outcome table: 13 planted faults found, clients that leave and SIGTERM midway

Each planted fault (what may have run sent again, no id looked at, a refusal passed on, trailers as headers, ...) is found by the rows that are named beside it. A client that leaves in its request's head or body has nothing sent, later its request sent once; a SIGTERM midway lets what was taken or begun to come end as ever, and at the end of the grace answers 500, which promises nothing. Transport tests for what the table can't time: an interim answer starts no watch for a stalled one, a mutating or long answer that pauses is waited for until its deadline.

--- a/tests/http/test_transport.py
+++ b/tests/http/test_transport.py
@@ -8,13 +8,15 @@
 import weakref
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
+from types import SimpleNamespace
 
 import pytest
 from outcomes import PAYLOAD, Outcomes
 from loopback import Peer, Script, answer, run, sends, silence, until
 
 from tamarindfold.interface import Outcome
-from troutdock.http.transport import REST_S, HttpTransport, Pool
+from troutdock.engine import Manners
+from troutdock.http.transport import REST_S, STREAM_STALL_S, HttpTransport, Pool
 from troutdock.http.transport import HttpAttempt as Attempt
 from troutdock.http.response import MAX_BODY
 
@@ -251,3 +253,111 @@
             transport.stale(idle_s)
         assert (transport.use_s < 0.9 * before) == shrinks
     run(test())
+
+
+class Owner:
+    """A call, so far as a transport sees it."""
+
+    def __init__(self, manners: Manners, left_ms: float) -> None:
+        self.request, self.give_up = SimpleNamespace(manners=manners, id=b"a"), left_ms
+
+
+@pytest.mark.parametrize("repeatable", (True, False))
+def test_an_interim_answer_is_no_answer_that_has_stopped_midway(repeatable: bool) -> None:
+    """A backend that had said 103 was taken for one that broke off 0.3 s later, while it was at work."""
+    async def test() -> None:
+        peer = Peer(sends(b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", close=False))
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        attempt = Attempt(None, 0, 1, PAYLOAD, 0.0, repeatable)
+        outcomes.backends.start(attempt)
+        await until(lambda: attempt.connection is not None and attempt.connection._answering)
+        assert attempt.connection is not None and attempt.connection._stalled is None
+        peer.writers[0].write(b"HTTP/1.1 200 O")
+        await until(lambda: attempt.connection._stalled is not None)  # now it has begun
+        peer.writers[0].write(b"K\r\nContent-Length: 0\r\n\r\n")
+        await until(lambda: bool(outcomes.ended))
+        assert outcomes.ended[0][1] is Outcome.OK and attempt.lag_ms < 1000
+        peer.stop()
+    run(test())
+
+
+@pytest.mark.parametrize(("silence_ends", "repeatable", "watched"), [(True, True, True), (True, False, True), (False, True, True), (False, False, False)])
+def test_an_answer_that_stops_is_waited_for_where_nothing_else_may_be_tried(silence_ends: bool, repeatable: bool, watched: bool) -> None:
+    async def test() -> None:
+        peer = Peer(sends(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha", close=False))
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        attempt = Attempt(Owner(Manners(silence_ends=silence_ends), 5000.0), 0, 1, PAYLOAD, 0.0, repeatable)
+        outcomes.backends.start(attempt)
+        await until(lambda: attempt.connection is not None and attempt.connection._reader.begun)
+        assert attempt.connection is not None and (attempt.connection._stalled is not None) is watched
+        outcomes.backends.give_up(attempt)
+        peer.stop()
+    run(test())
+
+
+@pytest.mark.parametrize(("silence_ends", "left_ms", "least_s"), [(True, 60_000.0, 0.0), (False, 60_000.0, 55.0), (False, 100.0, 0.0)])
+def test_a_long_answer_that_stops_is_waited_for_until_its_time_is_over(silence_ends: bool, left_ms: float, least_s: float) -> None:
+    """Its deadline holds for its beginning only, and 5 s of silence ended one that had a minute."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        peer = Peer(sends(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 50_000, close=False))
+        await peer.start()
+        streams = SimpleNamespace(answer_began=lambda *_: True, answer_more=lambda *_: None)
+        backends = HttpTransport(10, 0.25, 30.0, lambda *end: None, streams=streams)
+        backends.place(1, ("127.0.0.1", peer.port))
+        attempt = Attempt(Owner(Manners(silence_ends=silence_ends), left_ms), 0, 1, PAYLOAD, 0.0)
+        attempt.streams = True
+        backends.start(attempt)
+        await until(lambda: attempt.connection is not None and attempt.connection._streaming and attempt.connection._stalled is not None)
+        assert attempt.connection is not None and attempt.connection._stalled is not None
+        left_s = attempt.connection._stalled.when() - loop.time()
+        assert (left_s > least_s) and (left_s < STREAM_STALL_S + 0.1 or least_s > 0)
+        backends.give_up(attempt)
+        peer.stop()
+    run(test())
+
+
+@pytest.mark.parametrize(("manners", "outcome"), [(Manners(), Outcome.CONNECT_FAILED), (Manners(whole_first=False), Outcome.RESET)])
+@pytest.mark.parametrize("ends", ("reset", "close"))
+def test_a_break_before_the_last_byte_is_what_the_protocol_makes_of_it(manners: Manners, outcome: Outcome, ends: str) -> None:
+    async def test() -> None:
+        async def half(reader: asyncio.StreamReader) -> bytes:
+            return await reader.readexactly(10)
+
+        async def hang_up(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.transport.abort() if ends == "reset" else writer.write_eof()
+            writer.transport.pause_reading()
+
+        peer = Peer(hang_up, half)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        attempt = Attempt(Owner(manners, 5000.0), 0, 1, b"x" * 50_000_000, 0.0)
+        outcomes.backends.start(attempt)
+        await until(lambda: bool(outcomes.ended))
+        assert outcomes.ended[0][1] is outcome
+        peer.stop()
+    run(test())
+
+
+@pytest.mark.parametrize("early", (b"HTTP/1.1 200 OK\r\nContent-Le", b"garbage\r\n"))
+def test_who_has_begun_to_answer_may_have_run_what_was_not_written_whole(early: bytes) -> None:
+    """It counted as never run, and was sent again."""
+    async def test() -> None:
+        async def half(reader: asyncio.StreamReader) -> bytes:
+            return await reader.readexactly(10)
+
+        async def says(peer: Peer, request: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(early)
+            await until(lambda: attempt.connection is None or attempt.connection._answering)
+            writer.transport.abort()
+
+        peer = Peer(says, half)
+        await peer.start()
+        outcomes = Outcomes(peer.port)
+        attempt = outcomes.start(b"x" * 50_000_000)
+        await until(lambda: bool(outcomes.ended))
+        assert outcomes.ended[0][1] is Outcome.RESET
+        peer.stop()
+    run(test())
--- a/tests/system/test_proxy_outcomes.py
+++ b/tests/system/test_proxy_outcomes.py
@@ -10,18 +10,30 @@
 import asyncio
 import json
 import os
+import re
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from itertools import product
 from typing import Any
 
+import pytest
 import uvloop
 from scripted import Asker, Conn, Got, Script, Scripted, Seen, answer, good
 
 from almanac.boot import boot_of
+from espalier import daemon as daemon_module
+from espalier import reader as reader_module
 from espalier.daemon import Ingress
+from espalier.reader import SystemRequest
 from pollen.instances import Entry
+from tamarindfold import fabric as fabric_module
+from tamarindfold.interface import Outcome
+from troutdock.engine import Manners
+from troutdock.http import exchange as exchange_module
+from troutdock.http import response as response_module
+from troutdock.http import transport as transport_module
+from troutdock.http.response import Response
 
 AT_ONCE = 24  # runs beside each other
 LONG = b"x" * 1_000_000  # more than lies in the kernel between two sockets, as scripted.py makes them
@@ -540,8 +552,223 @@
         return runner.run(asyncio.wait_for(played(runs(names)), 60))
 
 
+def broken_in(results: Iterable[Result]) -> list[str]:
+    return [f"{result.run}: {each}" for result in results for each in result.broken]
+
+
 def test_every_row_keeps_the_rules() -> None:
     results = table()
     print(Counter((result.run.mutating, result.got.status, result.got.whole, result.sent, result.ran) for result in results))
-    broken = [f"{result.run}: {each}" for result in results for each in result.broken]
+    broken = broken_in(results)
     assert not broken, "\n".join([f"{len(broken)} in {len(results)} runs", *broken])
+
+
+# ---- that it would find
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+def repeats_what_may_have_run(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(fabric_module.Call, "may_have_run", property(lambda call: False, lambda call, value: None))
+
+
+def refuses_what_may_have_run(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(fabric_module.Fabric, "_fail", lambda fabric, call: fabric._refuse(0.0, call))
+
+
+def reads_answers(change: Callable[[Response], None]) -> Plant:
+    """Each answer is changed before it is looked at."""
+    def plant(patch: pytest.MonkeyPatch) -> None:
+        def changed(attempt: Any, response: Response) -> Outcome | None:
+            seen = Response(response.status, dict(response.headers), b"", True)
+            seen.headers[b":own"] = attempt.owner.request.id if attempt is not None and attempt.owner is not None else b""
+            change(seen)
+            return reader_module.verdict(attempt, seen)
+        patch.setattr(daemon_module, "verdict", changed)
+    return plant
+
+
+def takes_trailers(patch: pytest.MonkeyPatch) -> None:
+    def on_header(reader: Any, name: bytes, value: bytes) -> None:
+        reader._headers[name.lower()] = value.strip()
+    patch.setattr(response_module.ResponseReader, "on_header", on_header)
+
+
+def sets(where: Any, name: str, value: Any) -> Plant:
+    return lambda patch: patch.setattr(where, name, value)
+
+
+def ends_what_is_cut(patch: pytest.MonkeyPatch) -> None:
+    def broken(exchange: Any) -> None:
+        exchange.pieces.append(b"0\r\n\r\n")
+        exchange.call = None
+        exchange._flows_no_more()
+        exchange.connection.flush()
+    patch.setattr(exchange_module.Exchange, "broken", broken)
+
+
+def skips_unasked(patch: pytest.MonkeyPatch) -> None:
+    received = transport_module.Connection.data_received
+    patch.setattr(transport_module.Connection, "usable", lambda connection: True)
+    patch.setattr(transport_module.Connection, "data_received",
+                  lambda connection, data: received(connection, data) if connection.attempt is not None else None)
+
+
+def stamps(response: Response) -> None:
+    response.headers.setdefault(b"response-signature", b"s")
+
+
+def owns(response: Response) -> None:
+    response.headers[b"attempt-id"] = response.headers[b":own"]
+
+
+def owns_where_there_is_none(response: Response) -> None:
+    response.headers.setdefault(b"attempt-id", response.headers[b":own"])
+
+
+def forgives(response: Response) -> None:
+    response.headers.pop(b"content-encoding", None)
+
+
+PLANTED: dict[str, tuple[Plant, tuple[str, ...], str]] = {
+    "what may have run is sent again": (repeats_what_may_have_run, ("reset after the request", "close in the head", "garbage", "silence"), "TWICE"),
+    "what may have run is refused": (refuses_what_may_have_run, ("reset after the request", "silence"), "REFUSED"),
+    "what was written in part never ran": (sets(SystemRequest, "manners", Manners(True, True, False)), ("reset, the body half read",), "row"),
+    "a refusal that promises nothing is passed on": (sets(reader_module, "PROMISES", ()), ("503 of the backend, which promises what it does not say",), "REFUSED"),
+    "ids are not looked at": (reads_answers(owns), ("a stale answer, then its own", "a stale decline, then its own"), "MIXED"),
+    "no id is the request's own": (reads_answers(owns_where_there_is_none), ("no id, declined", "a decline without an id as the request comes"), "row"),
+    "no stamp is needed": (reads_answers(stamps), ("200 without a stamp",), "MIXED"),
+    "a coding is let through": (reads_answers(forgives), ("200 in a coding",), "row"),
+    "trailers are headers": (takes_trailers, ("a trailer that says Not-Executed",), "row"),
+    "what is cut looks whole": (ends_what_is_cut, ("long and chunked, cut by a close",), "MIXED"),
+    "Keep-Alive is not read": (sets(transport_module, "_KEEP_ALIVE", re.compile(rb"(?!)")), ("Keep-Alive has run out",), "the kept connection is used again"),
+    "one id twice on a connection": (sets(transport_module.HttpAttempt, "name", b""), ("the last request's answer again",), "the kept connection is used again"),
+    "bytes that nobody asked for are skipped": (skips_unasked, ("an answer on an idle connection", "a decline on an idle connection"), "the kept connection is used again"),
+}
+
+
+@pytest.mark.parametrize("fault", PLANTED)
+def test_a_planted_fault_is_found(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant, rows, rule = PLANTED[fault]
+    plant(monkeypatch)
+    broken = broken_in(table(rows))
+    for row in rows:
+        assert any(each.startswith(f"{row} (") for each in broken), (row, broken)
+    assert any(f": {rule}" in each for each in broken), broken
+
+
+# ---- the client's side, and the end of the process
+
+async def alone(of: Run, backend: Scripted) -> tuple[Ingress, tuple[str, int]]:
+    ingress, address = await proxy([of])
+    await backend.start()
+    introduce(ingress, of, "i-", backend, 1.0)
+    return ingress, address
+
+
+async def until(found: Callable[[], Any]) -> None:
+    async with asyncio.timeout(10):
+        while not found():
+            await asyncio.sleep(0)
+
+
+def one(story: Callable[[Run], Awaitable[None]], mutating: bool) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(story(Run("good", ROWS["good"], mutating, False, True)), 30))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("mutating", (True, False))
+@pytest.mark.parametrize("when", ("in the head", "in the body", "before the answer", "in the answer"))
+def test_a_client_that_leaves_has_its_request_sent_once_at_most_and_nobody_gets_its_answer(when: str, mutating: bool) -> None:
+    async def story(run: Run) -> None:
+        ended = asyncio.Event()
+
+        async def script(conn: Conn) -> None:
+            seen = await conn.whole()
+            if when == "in the answer":
+                await conn.send(answer(seen, body=LONG_BODY)[:90_000])
+            try:
+                await conn.gone()
+            finally:
+                ended.set()
+            raise EOFError
+
+        backend = Scripted(script)
+        ingress, address = await alone(run, backend)
+        try:
+            client, whole = await Asker(address).open(), run.request("left", body=b"pay")
+            backend.armed = True
+            client.writer.write({"in the head": whole[:40], "in the body": whole[:-1]}.get(when, whole))
+            if when in ("in the head", "in the body"):
+                await until(lambda: any(c._received for c in ingress.server._clients))
+            elif when == "before the answer":
+                await until(lambda: backend.seen)
+            else:
+                await client.reader.readexactly(70_000)
+            client.close()
+            await until(lambda: not ingress.server._clients and not ingress.engine.open)
+            if when in ("in the head", "in the body"):
+                assert not backend.seen
+            else:
+                await ended.wait()  # its backend is told by the connection's end
+                assert [each.nonce for each in backend.seen] == ["left"]
+            backend.armed = False
+            got = await (await Asker(address).open()).ask(run.request("next"))
+            assert (got.status, got.body, got.whole) == (200, b"whole next", True)
+            assert [each.nonce for each in backend.seen][-1] == "next" and len(backend.seen) <= 2
+        finally:
+            ingress.server.leave()
+            ingress.server._listener.close()
+            ingress.engine.close()
+            ingress.transport.close()
+            await backend.stop()
+
+    one(story, mutating)
+
+
+@pytest.mark.parametrize("mutating", (True, False))
+@pytest.mark.parametrize("when", ("in the head", "in the body", "at work", "in the answer", "to the end of the grace"))
+def test_a_sigterm_midway_ends_no_request_early_and_promises_nothing(when: str, mutating: bool) -> None:
+    async def story(run: Run) -> None:
+        go = asyncio.Event()
+
+        async def script(conn: Conn) -> None:
+            seen = await conn.whole()
+            data = answer(seen, body=LONG_BODY)
+            sent = 90_000 if when == "in the answer" else 0
+            await conn.send(data[:sent])
+            await go.wait()
+            await conn.send(data[sent:])
+
+        backend = Scripted(script)
+        ingress, address = await alone(run, backend)
+        ingress.server.drain_accept_s = ingress.server.drain_most_s = 0.0
+        try:
+            client, whole = await Asker(address).open(), run.request("term", body=b"pay")
+            backend.armed = True
+            cut = {"in the head": 40, "in the body": len(whole) - 1}.get(when, len(whole))
+            client.writer.write(whole[:cut])
+            await until(lambda: backend.seen if cut == len(whole) else any(c._received for c in ingress.server._clients))
+            if when == "in the answer":
+                await until(lambda: any(call.begun for call in ingress.engine._calls.values()))
+            ending = asyncio.create_task(ingress.end(0.6 if when == "to the end of the grace" else 10.0))
+            await until(lambda: ingress._ending)
+            if when == "to the end of the grace":
+                got = await client.answer()
+                # it was at work to the last: nothing is said of whether it ran
+                assert got.whole and got.status == 500
+            else:
+                client.writer.write(whole[cut:])
+                await until(lambda: backend.seen)
+                assert not ending.done()
+                go.set()
+                got = await client.answer()
+                assert (got.status, got.body, got.whole) == (200, LONG_BODY, True)
+            assert len(backend.seen) == 1
+            assert await client.more() == b""
+            await ending
+        finally:
+            ingress.engine.close()
+            await backend.stop()
+
+    one(story, mutating)
