Proxy: rows in any order on kept connections; the engine with the fabric in any order

Found by the courses: the row of a spoilt chunk spoilt nothing (its bytes lay within a chunk); replaced by one that does.

--- /dev/null
+++ b/tests/engine/test_engine_fabric.py
@@ -0,0 +1,115 @@
+"""The engine with the decision module of many ingresses, in simulated time: any legal order of events.
+
+Beside what test_engine.py asks of any: a request that may not be repeated is refused only where it never ran.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from simulated import SimulatedTime, SimulatedTransport, SimulatedWorld, Told, need
+
+from tamarindfold.fabric import Call, Fabric
+from tamarindfold.interface import BackendState, Effect, ListKind, Outcome, RequestArrived
+from troutdock.engine import Engine, Request
+
+OUTCOMES = (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.MOOT)
+STEPS = st.lists(st.tuples(
+    st.sampled_from(["arrive", "arrive", "arrive", "end", "end", "end", "begin", "finish", "leave", "abandon", "time", "time", "fleet"]),
+    st.integers(0, 10**6)), min_size=5, max_size=80)
+IDS = (1, 2, 3, 4)
+
+
+class Refusal(Told):
+    """An exchange that knows what was sent of its request."""
+
+    effect = Effect.SAFE
+
+    def refused(self, retry_after_ms: float) -> None:
+        if self.effect is not Effect.SAFE:
+            need(all(o is not None and o.never_ran for o in self.outcomes), f"refused after {self.outcomes}")
+        super().refused(retry_after_ms)
+
+
+class FabricTransport(SimulatedTransport):
+    """Keyed requests may not be repeated either: the fabric knows no keys."""
+
+    def start(self, attempt: Any) -> None:
+        told: Refusal = attempt.owner.exchange
+        if told.effect is not Effect.SAFE:
+            need(all(o is not None and o.never_ran for o in told.outcomes), f"again after {told.outcomes}")
+        need(len(told.outcomes) < 3, "sent too often")
+        super().start(attempt)
+
+
+class OneRequest(Request):
+    def message(self, left_ms: float) -> float:
+        assert left_ms > 0
+        return left_ms
+
+
+class FabricWorld(SimulatedWorld):
+    def __init__(self) -> None:
+        super().__init__(counter=False)
+        self.time = SimulatedTime()
+        fabric = Fabric(self.settings, 7, allowance=1000.0)
+        self.engine = Engine(self.settings, 7, self.time, self.time, fabric)
+        self.transports = [FabricTransport(self)]
+        self.engine.add_pool(self.transports[0])
+        self.fleet(list(IDS), kind=ListKind.CHANGES)
+
+    def ask(self, cls: int, timeout_ms: float) -> None:
+        told = Refusal(self.time.now(), self.time.now() + timeout_ms, self.time)
+        told.effect = self.settings.classes[cls].effect
+        arrival = RequestArrived(0, 9, 0, cls, 1.0, 0, 1, timeout_ms, False, 0, 2)
+        self.told.append(told)
+        self.calls.append(self.engine.arrive(OneRequest(b"", arrival, told.effect is Effect.SAFE), told))
+
+
+def play(world: FabricWorld, steps: list[tuple[str, int]]) -> None:
+    for what, pick in steps:
+        out, begun = world.out, [a for t in world.transports for a in t.begun]
+        if what == "arrive":
+            world.ask(pick % 4, 30 + pick % 3000)
+        elif what == "end" and out:
+            attempt = out[pick % len(out)]
+            world.transport(attempt).end(attempt, OUTCOMES[pick // 7 % len(OUTCOMES)])
+        elif what == "begin" and out:
+            attempt = out[pick % len(out)]
+            world.transport(attempt).begin(attempt)
+        elif what == "finish" and begun:
+            attempt = begun[pick % len(begun)]
+            world.transport(attempt).end(attempt, (Outcome.OK, Outcome.RESET)[pick % 2])
+        elif what in ("leave", "abandon") and world.calls:
+            number = pick % len(world.calls)
+            if what == "leave":
+                world.told[number].withdrawn = world.told[number].final is None
+                world.engine.withdraw(world.calls[number])
+            else:
+                world.engine.abandon(world.calls[number])
+        elif what == "time":
+            world.time.advance(pick % 700)
+        elif what == "fleet":  # one that is gone does not come back under its number
+            world.fleet([i for i in IDS if pick >> i & 1], (BackendState.READY, BackendState.DRAINING)[pick % 2], ListKind.CHANGES)
+        world.check()
+    world.finish()
+
+
+@given(STEPS)
+@hypothesis_settings(derandomize=True, max_examples=400, deadline=None)
+def test_any_legal_order_sends_once_what_may_not_be_repeated_and_refuses_only_what_never_ran(steps: list[tuple[str, int]]) -> None:
+    play(FabricWorld(), steps)
+
+
+@pytest.mark.parametrize("fault", ("sent again", "refused"))
+def test_a_planted_fault_is_found(fault: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    if fault == "sent again":
+        monkeypatch.setattr(Call, "may_have_run", property(lambda call: False, lambda call, value: None))
+    else:
+        monkeypatch.setattr(Fabric, "_fail", lambda fabric, call: fabric._refuse(0.0, call))
+    with pytest.raises(AssertionError, match=r"again after|refused after|unsafe again"):
+        test_any_legal_order_sends_once_what_may_not_be_repeated_and_refuses_only_what_never_ran()
--- a/tests/peers/scripted.py
+++ b/tests/peers/scripted.py
@@ -25,6 +25,7 @@
     whole: bool = False  # its last byte has been read
     begun: bool = False  # worked on before that
     declined: bool = False  # Not-Executed or 421 was said of it
+    said: list[bytes] = field(default_factory=list)  # bodies of what was answered in its place
 
     @property
     def ran(self) -> bool:
@@ -47,6 +48,7 @@
     else:
         seen.begun = True
     text = b"whole " + seen.nonce.encode() if body is None else body
+    seen.said.append(text)
     lines = [f"HTTP/1.1 {status} X"]
     if id is not None:
         lines.append(f"Attempt-Id: {seen.id if id == 'own' else id}")
--- a/tests/system/test_proxy_outcomes.py
+++ b/tests/system/test_proxy_outcomes.py
@@ -15,6 +15,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from itertools import product
+from random import Random
 from typing import Any
 
 import pytest
@@ -249,7 +250,7 @@
     "long, cut by a reset": Row(after_whole(part(90_000, body=LONG_BODY), reset), CUT),
     "long and chunked, cut by a close": Row(after_whole(part(90_000, body=LONG_BODY, chunked=True), close), CUT),
     "long, without a length, cut by a reset": Row(after_whole(part(90_000, 200, "Connection: close", body=LONG_BODY, length=None), reset), CUT),
-    "long, with a spoilt chunk": Row(after_whole(part(90_000, body=LONG_BODY, chunked=True), raw(b"\r\nzz\r\n"), then_given_up), CUT),
+    "long, with a spoilt chunk": Row(after_whole(part(HEAD_END, chunked=True), raw(b"30d40\r\n" + b"x" * 200_000 + b"\r\nzz\r\n"), then_given_up), CUT),
     "long, and silence": Row(after_whole(part(90_000, body=LONG_BODY), silence), CUT, deadline_ms=SHORT_MS),
     # no answers
     "garbage": Row(after_whole(raw(b"SSH-2.0-nonsense\r\n"), then_given_up), MAYBE),
@@ -657,6 +658,116 @@
     assert any(f": {rule}" in each for each in broken), broken
 
 
+# ---- rows in any order, one after the other on the same connections
+
+QUICK = [name for name, row in ROWS.items() if not row.long and row.deadline_ms == 5000 and row.before is None and row.at_door is None]
+CLIENTS, EACH = 6, 60
+
+
+@dataclass
+class Asked:
+    """One request of a long course."""
+
+    nonce: str
+    id: str
+    mutating: bool
+    got: Got
+
+
+def broken_in_course(asked: list[Asked], backends: list[Scripted]) -> list[str]:
+    """The rules of the pages alone: what each row says holds only where it is met by itself."""
+    broken = []
+    seen: dict[str, list[Seen]] = {}
+    for backend in backends:
+        for each in backend.seen:
+            seen.setdefault(each.nonce, []).append(each)
+    for one in asked:
+        got, met = one.got, seen.pop(one.nonce, [])
+        ran = sum(each.ran for each in met)
+        said = [body for each in met for body in each.said]
+        if 200 <= got.status < 300 and got.whole and (
+                got.headers.get("response-signature") != f"s-{one.nonce}" or got.headers.get("attempt-id") != one.id or got.body not in (*said, b"hell", b"")):
+            broken.append(f"MIXED: {one}")
+        if one.mutating and ran > 1:
+            broken.append(f"TWICE: {one}")
+        if one.mutating and ran and got.status in (408, 421, 429, 503):
+            broken.append(f"REFUSED: {one}")
+        if len(met) > 2 or got.status in (0, 405, 408, 431) or (got.status < 500 and got.status not in (409, 429) and "attempt-id" not in got.headers):
+            broken.append(f"no such end: {one}, sent {len(met)}")
+        if any(each.whole and each.body != b"pay" for each in met):
+            broken.append(f"UNASKED: {one}")
+    broken += [f"UNASKED: {nonce}" for nonce in seen]
+    return broken
+
+
+async def course(seed: int) -> tuple[list[Asked], list[Scripted]]:
+    """Clients that keep their connections and at times ask under the id they had last; backends in every kind of trouble."""
+    random = Random(seed)
+    calls = [Run("good", ROWS["good"], mutating, False, True, number) for number, mutating in enumerate((True, False))]
+    ingress, address = await proxy(calls)
+    del ingress.transport.stale  # as it is: connections that were reset under a request are distrusted
+
+    async def any_row(conn: Conn) -> None:
+        # most are sound, so that connections are kept
+        await (good if random.random() < 0.4 else ROWS[random.choice(QUICK)].script)(conn)
+
+    backends = [Scripted() for _ in range(6)]
+    asked: list[Asked] = []
+
+    async def client(number: int) -> None:
+        last, asker = "", Asker(address)
+        for turn in range(EACH):
+            run = random.choice(calls)
+            nonce = f"c{number}-{turn}"
+            last = id = last if last and random.random() < 0.2 else nonce
+            if not hasattr(asker, "writer"):
+                await asker.open()
+            got = await asker.ask(run.request(nonce, id=id, body=b"pay"))
+            asked.append(Asked(nonce, id, run.mutating, got))
+            if not got.whole or got.headers.get("connection") == "close" or random.random() < 0.05:
+                asker.close()
+                asker = Asker(address)
+        if hasattr(asker, "writer"):
+            assert await asker.more() == b"", "bytes without a request"
+
+    try:
+        for number, backend in enumerate(backends):
+            backend.normal = any_row
+            await backend.start()
+            introduce(ingress, calls[number % 2], f"i{number}-", backend, 1.0)
+        for pool in ingress.fabric.pools.values():
+            pool.further = 1000.0
+        await asyncio.gather(*map(client, range(CLIENTS)))
+        return asked, backends
+    finally:
+        ingress.server.leave()
+        ingress.server._listener.close()
+        ingress.engine.close()
+        ingress.transport.close()
+        for backend in backends:
+            await backend.stop()
+
+
+def course_of(seed: int) -> list[str]:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        asked, backends = runner.run(asyncio.wait_for(course(seed), 60))
+    print(Counter((each.mutating, each.got.status, each.got.whole) for each in asked), sum(len(each.conns) for each in backends))
+    assert len(asked) == CLIENTS * EACH
+    return broken_in_course(asked, backends)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rows_in_any_order_on_kept_connections_keep_the_rules(seed: int) -> None:
+    assert not course_of(seed)
+
+
+@pytest.mark.parametrize(("fault", "rule"), [("what may have run is sent again", "TWICE"), ("what may have run is refused", "REFUSED"), ("ids are not looked at", "MIXED"),
+                                             ("no stamp is needed", "MIXED")])
+def test_a_planted_fault_is_found_in_a_course(fault: str, rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    PLANTED[fault][0](monkeypatch)
+    assert any(each.startswith(rule) for seed in range(3) for each in course_of(seed))
+
+
 # ---- the client's side, and the end of the process
 
 async def alone(of: Run, backend: Scripted) -> tuple[Ingress, tuple[str, int]]:
