A request's trailers are no headers: none reaches a backend

A chunked request's trailer lines were appended to its headers: X-More went to the backend, a second Attempt-Id or Deadline-Ms made a proper request 400.

--- a/tests/system/test_proxy_outcomes.py
+++ b/tests/system/test_proxy_outcomes.py
@@ -788,6 +788,30 @@
         runner.run(asyncio.wait_for(story(Run("good", ROWS["good"], mutating, False, True)), 30))  # type: ignore[arg-type]
 
 
+@pytest.mark.parametrize("trailer", ("Key: other", "X-More: smuggled", "Tenant-Name: other", "Attempt-Id: other", "Deadline-Ms: 1"))
+def test_what_stands_behind_a_requests_body_changes_nothing_of_it(trailer: str) -> None:
+    async def story(run: Run) -> None:
+        backend = Scripted()
+        ingress, address = await alone(run, backend)
+        try:
+            client = await Asker(address).open()
+            head = run.request("chunks").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            got = await client.ask(head + b"3\r\npay\r\n0\r\n" + trailer.encode() + b"\r\n\r\n")
+            assert (got.status, got.body) == (200, b"whole chunks")
+            (seen,) = backend.seen
+            assert (seen.body, seen.id, seen.headers["content-length"]) == (b"pay", "chunks", "3")
+            assert not {"key", "x-more", "tenant-name"} & seen.headers.keys() and int(seen.headers["deadline-ms"]) > 1000
+            assert (await client.ask(run.request("next", body=b"pay"))).body == b"whole next"
+        finally:
+            ingress.server.leave()
+            ingress.server._listener.close()
+            ingress.engine.close()
+            ingress.transport.close()
+            await backend.stop()
+
+    one(story, True)
+
+
 @pytest.mark.parametrize("mutating", (True, False))
 @pytest.mark.parametrize("when", ("in the head", "in the body", "before the answer", "in the answer"))
 def test_a_client_that_leaves_has_its_request_sent_once_at_most_and_nobody_gets_its_answer(when: str, mutating: bool) -> None:
--- a/troutdock/http/connection.py
+++ b/troutdock/http/connection.py
@@ -358,6 +358,8 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_head:
+            return  # a trailer is no part of what the head has said (RFC 9110, 6.5.1)
         self._headers.append((name.lower(), value.strip(b" \t")))  # RFC 9112, 5: no part of the value
 
     def on_headers_complete(self) -> None:
