--- a/espalier/reader.py
+++ b/espalier/reader.py
@@ -161,4 +161,8 @@
 
 def passes(answer: Response) -> tuple[tuple[bytes, bytes], ...]:
     """All headers but those of one connection: what the backend says is the client's."""
-    return tuple(pair for pair in answer.headers.items() if pair[0] not in _KEPT_BACK)
+    given = tuple(pair for pair in answer.headers.items() if pair[0] not in _KEPT_BACK)
+    if len(answer.cookies) < 2:
+        return given
+    rest = tuple(pair for pair in given if pair[0] != b"set-cookie")
+    return rest + tuple((b"set-cookie", cookie) for cookie in answer.cookies)
--- a/tests/system/test_proxy_outcomes.py
+++ b/tests/system/test_proxy_outcomes.py
@@ -788,6 +788,28 @@
         runner.run(asyncio.wait_for(story(Run("good", ROWS["good"], mutating, False, True)), 30))  # type: ignore[arg-type]
 
 
+def test_what_an_answer_says_of_itself_comes_as_it_was_said() -> None:
+    async def story(run: Run) -> None:
+        lines = ("Set-Cookie: a=1; Expires=Wed, 02 Dec 2026 00:00:00 GMT", "Set-Cookie: b=2", "X-One: 1", "X-One: 2")
+        backend = Scripted()
+        backend.normal = after_whole(says(200, *lines))
+        ingress, address = await alone(run, backend)
+        try:
+            client = await Asker(address).open()
+            client.writer.write(run.request("cookies"))
+            head = (await client.reader.readuntil(HEAD_END)).decode().split("\r\n")
+            assert [line for line in head if line.lower().startswith("set-cookie")] == [line.replace("Set-Cookie", "set-cookie") for line in lines[:2]]
+            assert "x-one: 1, 2" in head  # which means the same
+        finally:
+            ingress.server.leave()
+            ingress.server._listener.close()
+            ingress.engine.close()
+            ingress.transport.close()
+            await backend.stop()
+
+    one(story, True)
+
+
 @pytest.mark.parametrize("trailer", ("Key: other", "X-More: smuggled", "Tenant-Name: other", "Attempt-Id: other", "Deadline-Ms: 1"))
 def test_what_stands_behind_a_requests_body_changes_nothing_of_it(trailer: str) -> None:
     async def story(run: Run) -> None:
--- a/troutdock/http/response.py
+++ b/troutdock/http/response.py
@@ -30,6 +30,7 @@
     headers: dict[bytes, bytes]  # names in lower case; one that comes again has its values joined by commas
     body: bytes
     keep_alive: bool
+    cookies: tuple[bytes, ...] = ()  # each Set-Cookie by itself: commas stand in them (RFC 9110, 5.3)
 
     @property
     def true_units(self) -> float:
@@ -41,8 +42,8 @@
 class ResponseReader:
     """Feed it what a connection brings; it gives each response once that is whole."""
 
-    __slots__ = ("_body", "_done", "_headers", "_headers_done", "_in_message", "_max_body", "_parser",
-                 "_pending", "_size", "_until_end", "spoilt", "streams")
+    __slots__ = ("_body", "_cookies", "_done", "_headers", "_headers_done", "_in_message", "_max_body",
+                 "_parser", "_pending", "_size", "_until_end", "spoilt", "streams")
 
     def __init__(self, max_body: int) -> None:
         self.streams = False  # a long good response may be taken in pieces
@@ -74,7 +75,7 @@
 
     def head(self) -> Response:
         """The response that is coming, without its body."""
-        return Response(self._parser.get_status_code(), self._headers, b"", False)
+        return Response(self._parser.get_status_code(), self._headers, b"", False, self._cookies)
 
     def take(self) -> bytes:
         """What has come of its body since the last time; the response that ends it has the rest."""
@@ -121,7 +122,8 @@
         if not (self._headers_done and self._until_end):
             return None
         self._headers_done = False
-        return Response(self._parser.get_status_code(), self._headers, b"".join(self._body), False)
+        body = b"".join(self._body)
+        return Response(self._parser.get_status_code(), self._headers, body, False, self._cookies)
 
     def close(self) -> None:
         """Nothing more is fed: the parser, which holds this reader, is let go."""
@@ -132,6 +134,7 @@
     def on_message_begin(self) -> None:
         self._in_message = True
         self._headers: dict[bytes, bytes] = {}
+        self._cookies: tuple[bytes, ...] = ()
         self._body: list[bytes] = []
         self._size, self._headers_done, self._until_end = 0, False, False
 
@@ -141,6 +144,8 @@
         name, value = name.lower(), value.strip(b" \t")
         before = self._headers.get(name)
         self._headers[name] = value if before is None else before + b", " + value
+        if name == b"set-cookie":
+            self._cookies = (*self._cookies, value)
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -180,6 +185,6 @@
             if status in (204, 304):  # its head ends it, but who has said otherwise may still send a body
                 length = self._headers.get(b"content-length", b"0") if status == 204 else b"0"
                 keep = keep and length.strip(b"0") == b"" and b"transfer-encoding" not in self._headers
-            self._done.append(Response(status, self._headers, b"".join(self._body), keep))
+            self._done.append(Response(status, self._headers, b"".join(self._body), keep, self._cookies))
             self._body = []
         self._headers_done = self._in_message = False
