A copy due while a long answer is passed on costs no other backend its place

The engine told such a sending as MOOT, which the fabric takes for a backend in whose place another one stands: a sound backend was taken out of its pool until its next word, and a second sending of the budget was spent. Timers of a call end now where its answer begins, and what could still be sent is told as given up. The test fails before (backend 1 of 4 gone). Ruled out: a long answer that breaks off before its turn on a pipelined connection (it is paused by then, and its end is met on its turn).

--- a/tests/engine/test_engine_fabric.py
+++ b/tests/engine/test_engine_fabric.py
@@ -113,3 +113,25 @@
         monkeypatch.setattr(Fabric, "_fail", lambda fabric, call: fabric._refuse(0.0, call))
     with pytest.raises(AssertionError, match=r"again after|refused after|unsafe again"):
         test_any_legal_order_sends_once_what_may_not_be_repeated_and_refuses_only_what_never_ran()
+
+
+@pytest.mark.parametrize("copies", (1, 2))
+def test_a_long_answer_that_outlives_its_copys_time_costs_no_other_backend_its_place(copies: int) -> None:
+    """A copy that was due while the answer was being passed on was told as moot, as by a backend that has ended."""
+    world = FabricWorld()
+    fabric: Fabric = world.engine._gateway
+    fabric.pools[0].further = 5.0
+    world.ask(0, 20_000)
+    if copies == 2:  # one is out already when the first begins
+        world.time.advance(1500)
+        while len(world.out) < 2:
+            world.time.advance(10)
+    spent = fabric.pools[0].further
+    first = world.out[0]
+    world.transport(first).begin(first)
+    world.time.advance(10_000)
+    assert set(fabric.pools[0].ready) == set(IDS) and fabric.pools[0].further == spent
+    assert world.out == [first] and world.time.pending <= 1  # its deadline
+    world.transport(first).end(first, Outcome.OK)
+    assert world.told[0].final == "served"
+    world.finish()
--- a/troutdock/engine/engine.py
+++ b/troutdock/engine/engine.py
@@ -342,6 +342,7 @@
         if call.begun is not None or call.number not in self._calls:
             return False
         call.begun = attempt
+        self._cancel_timers(call)  # of copies: nothing more may run
         elapsed_ms = self.clock.now() - attempt.started
         self._handle(AnswerBegan(call.number, attempt.index, attempt.backend, elapsed_ms, flow is not None,
                                  attempt.lag_ms))
@@ -473,13 +474,18 @@
         """A request is concluded: nothing more is waited for."""
         if call.deadline is not None:
             call.deadline.cancel()
-        if call.timers is not None:
-            for timer in call.timers:
-                timer.cancel()
+        self._cancel_timers(call)
         for attempt in call.attempts:
             self._cancel(call, attempt, outcome)
             attempt.owner = None  # no cycle, so that what has ended goes without the collector of cycles
 
+    def _cancel_timers(self, call: Call) -> None:
+        """What the decision module has asked for on its behalf is due no more."""
+        if call.timers is not None:
+            for timer in call.timers:
+                timer.cancel()
+            call.timers = None
+
     def _cancel(self, call: Call, attempt: Attempt, outcome: Outcome = Outcome.CANCELLED) -> None:
         """Stop waiting for an attempt, if that has not ended."""
         if not attempt.over:
@@ -559,6 +565,7 @@
         call.attempts.append(attempt)
         if call.begun is not None:  # the answer is the client's already: nothing more may run
             attempt.over = True
-            self._tell_end(call, attempt, Outcome.MOOT)
+            # not as moot: that is what a backend says in whose place another one stands
+            self._tell_end(call, attempt, Outcome.CANCELLED)
             return
         call.transport.start(attempt)
