--- a/tests/peers/scripted.py
+++ b/tests/peers/scripted.py
@@ -43,10 +43,10 @@
 def answer(seen: Seen, status: int = 200, *headers: str, body: bytes | None = None, id: str | None = "own", stamp: bool = True,
            length: int | None = -1, chunked: bool = False) -> bytes:
     """An answer to this request. id: "own", None, or another; length: -1 the true one, None none."""
-    if status == 421 or (status >= 300 and any(header.startswith("Not-Executed") for header in headers)):
-        seen.declined = True
-    else:
-        seen.begun = True
+    declines = status == 421 or (status >= 300 and any(header.startswith("Not-Executed") for header in headers))
+    if id == "own":  # else it says nothing of this request; what was answered before is not taken back
+        seen.declined = seen.declined or (declines and not seen.begun)
+        seen.begun = seen.begun or not declines
     text = b"whole " + seen.nonce.encode() if body is None else body
     seen.said.append(text)
     lines = [f"HTTP/1.1 {status} X"]
