One encoding for all followers; duties of homes looked at when they may have changed

A draining backend that calls again is not told to ingresses again. Fresh after InForce says whether this primary is in contact, in place of true.

--- a/espalier/shares.py
+++ b/espalier/shares.py
@@ -123,6 +123,9 @@
         self._near, self._passed_on = _Side(), _Side()  # own changes, and those of other zones
         self._waiting: dict[str, dict[str, None]] = {}  # by duty: what other zones don't know yet
         self._homes: set[str] = set()  # duties that were this one's at the last telling
+        # neighbours and duties that were looked at last
+        self._homes_of: tuple[frozenset[str], frozenset[str]] | None = None
+        self._own_duties: set[str] = set()  # of these, those that are this one's
         self._names: dict[str, int] = {}  # own table
         self._names_told: dict[str, int] = {}  # how much of it those of other zones know
         self._tables: dict[str, tuple[int, list[str]]] = {}  # of neighbours: by name, with their lives
@@ -340,7 +343,11 @@
 
         near: names linked in the zone; away: names and zones of the others.
         """
-        homes = {duty for duty in self.duties() if self.home(duty, near)}
+        known = frozenset(near), frozenset(self.duties())
+        if known != self._homes_of:  # each duty against each neighbour, some 25 times a second, is too much
+            self._homes_of = known
+            self._own_duties = {duty for duty in known[1] if self.home(duty, near)}
+        homes = self._own_duties
         for duty in homes - self._homes:  # whoever told it before may not have told the last of it
             all_of = self.zone_used if duty == USE else self.services.instances_of(duty.partition("/")[2])
             self._waiting.setdefault(duty, {}).update(dict.fromkeys(all_of))
--- a/furrow/link.py
+++ b/furrow/link.py
@@ -23,7 +23,7 @@
 import contextlib
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import cast
 from weakref import WeakSet
 
@@ -215,6 +215,14 @@
             self._down(self)
 
 
+def send_all(links: Iterable[Link], message: Message) -> None:
+    """Say one thing to many; it is encoded once, and its bytes are shared."""
+    payload = encode(message)
+    passes = isinstance(message, PASSING) and len(payload) <= PART
+    for link in links:
+        link.send_payload(payload, passes)
+
+
 class Dialer:
     """Keeps a link to an address until it is closed."""
 
--- a/hedgerow/daemon.py
+++ b/hedgerow/daemon.py
@@ -11,7 +11,7 @@
 from almanac.boot import Boot
 from almanac.configuration import longest
 from furrow.calls import CallServer
-from furrow.link import Address, Dialer, Link, Listener
+from furrow.link import Address, Dialer, Link, Listener, send_all
 from furrow.messages import (
     GONE,
     READY,
@@ -266,9 +266,8 @@
             elif isinstance(action, Forget):
                 self._part(action.ip)
             elif action.to is None:
-                for link in list(self.registry.ingresses):
-                    assert isinstance(link, Link)
-                    link.send(action.message)
+                links = [link for link in self.registry.ingresses if isinstance(link, Link)]
+                send_all(links, action.message)
             else:
                 assert isinstance(action.to, Link)
                 action.to.send(action.message)
--- a/hedgerow/registry.py
+++ b/hedgerow/registry.py
@@ -229,7 +229,10 @@
             return self._last, [*actions, *self._flood(entries, None), why]
         asked = {o.link: o.ip for o in self.others.values() if o.link is not None}
         self._questions[self._last] = _Question(now + CONFIRM_S, [e.id for e in entries], asked)
-        return self._last, [*actions, *self._flood(entries, None, self._last), *self._settle(now)]
+        flood = self._flood(entries, None, self._last)
+        if not risen:  # ingresses have been told
+            flood = [tell for tell in flood if isinstance(tell, Tell) and tell.to is not None]
+        return self._last, [*actions, *flood, *self._settle(now)]
 
     def away(self, now: float) -> bool:
         """Beats are better made elsewhere: out of contact for a while, and no majority hears of them."""
--- a/rootstock/daemon.py
+++ b/rootstock/daemon.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from almanac.boot import Boot
-from furrow.link import Address, Dialer, Link, Listener
+from furrow.link import Address, Dialer, Link, Listener, send_all
 from furrow.messages import (
     NOTHING,
     Accept,
@@ -184,8 +184,7 @@
         fresh = self._replica is not None and self._replica.status.active
         if fresh != self._fresh:
             self._fresh = fresh
-            for link in list(self._registries):
-                link.send(Fresh(fresh, self._config.version, self._config.digest))
+            send_all(list(self._registries), Fresh(fresh, self._config.version, self._config.digest))
 
     def _show(self, link: Link) -> None:
         if self._config.version:
@@ -215,9 +214,10 @@
                 case InForce(version, body):
                     self._config = Config(version, msgspec.Raw(body), digest_of(body))
                     log.info("In force: r{}.", version)
-                    for link in list(self._registries):
-                        self._show(link)
-                        link.send(Fresh(True, version, self._config.digest))
+                    links = list(self._registries)
+                    send_all(links, self._config)
+                    self._fresh = self._replica is not None and self._replica.status.active
+                    send_all(links, Fresh(self._fresh, version, self._config.digest))
                 case Log(text):
                     log.info("{}", text)
 
