--- /dev/null
+++ b/benchmarks/hollow/ingress.py
@@ -0,0 +1,86 @@
+"""One ingress in full, without sockets: what espalier.daemon.Ingress holds and does for control."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from almanac.configuration import Refused, read_configuration
+from espalier.daemon import NOTHING, STATES
+from espalier.routes import Table
+from espalier.shares import Exchange
+from furrow.messages import GONE, Config, Instances, Members, Silence
+from pollen.instances import Book
+from tamarindfold.fabric import Fabric
+from tamarindfold.interface import (
+    BackendEntry,
+    Company,
+    FleetUpdate,
+    ListKind,
+    PlanAssigned,
+    SettingsChanged,
+    Suspected,
+)
+
+
+class Ingress:
+    """Book, decision module with tenants and backends, list of ingresses, table of routes."""
+
+    def __init__(self, name: str, ip: str, zone: str) -> None:
+        self.book = Book()
+        self.fabric = Fabric(NOTHING, 1, int(zone[1:]))
+        self.exchange = Exchange(name, ip, zone, 1, self.book)
+        self.table: Table | None = None
+        self.numbers: dict[str, int] = {}
+        self.instance_of: dict[int, bytes] = {}
+        self.pools: dict[str, int] = {}
+        self.tenants: dict[str, int] = {}
+        self._last = 0
+
+    def hear(self, now: float, message: Any) -> None:
+        """As Ingress._heard."""
+        match message:
+            case Config(version, body):
+                self._configure(now, version, bytes(body))
+            case Instances(entries):
+                self._instances(now, self.book.hear(now, entries))
+            case Silence(silent, back):
+                for ids, is_silent in ((silent, True), (back, False)):
+                    for id in ids:
+                        if (number := self.numbers.get(id)) is not None:
+                            self._tell(now, Suspected(number, is_silent))
+            case Members(entries, gone, full):
+                self.exchange.listed(now, entries, gone, full)
+                self._tell(now, Company(*self.exchange.company(now)))
+            case _:
+                pass
+
+    def _tell(self, now: float, event: Any) -> None:
+        self.fabric.handle(now * 1000, event)
+
+    def _configure(self, now: float, version: int, body: bytes) -> None:
+        if self.table is not None and version <= self.table.version:
+            return
+        found = read_configuration(body)
+        assert not isinstance(found, Refused), found
+        table = Table(found, self.tenants)
+        for service in found.services:
+            self.pools.setdefault(service, len(self.pools))
+        self._tell(now, SettingsChanged(table.settings))
+        self.table = table
+        for plan, tenant in enumerate(found.tenants or ()):
+            self._tell(now, PlanAssigned(self.tenants[tenant.name], plan + 1))
+
+    def _instances(self, now: float, risen: list[Any]) -> None:
+        for entry in risen:
+            number = self.numbers.get(entry.id)
+            if number is None:
+                if entry.state == GONE:
+                    continue
+                self._last += 1
+                number = self.numbers[entry.id] = self._last
+                self.instance_of[number] = entry.id.encode()
+            told = BackendEntry(number, STATES[entry.state], int(entry.zone[1:]), size=entry.slots)
+            pool = self.pools.setdefault(entry.service, len(self.pools))
+            self._tell(now, FleetUpdate(ListKind.CHANGES, [told], pool=pool))
+            if entry.state == GONE:
+                del self.numbers[entry.id]
