--- a/tests/system/test_disks_after_power.py
+++ b/tests/system/test_disks_after_power.py
@@ -323,3 +323,22 @@
     schema_1(tmp_path, None, "spoilt")
     disk = Disk(tmp_path)
     assert disk.open() is None and disk.set_aside is not None
+
+
+def test_a_spoilt_state_of_schema_1_is_set_aside(tmp_path: Path) -> None:
+    schema_1(tmp_path, None)
+    base = sqlite3.connect(tmp_path / FILE)
+    base.execute("UPDATE state SET promised = 4")
+    base.commit()
+    base.close()
+    disk = Disk(tmp_path)
+    assert disk.open() is None and disk.set_aside is not None
+
+
+def test_each_commit_is_synced(tmp_path: Path) -> None:
+    disk = Disk(tmp_path)
+    disk.open()
+    assert disk._base is not None
+    assert disk._base.execute("PRAGMA synchronous").fetchone() == (2,)  # FULL: the log, with each commit
+    assert disk._base.execute("PRAGMA journal_mode").fetchone() == ("wal",)
+    disk.close()
