--- a/tests/system/test_store_schedules.py
+++ b/tests/system/test_store_schedules.py
@@ -14,7 +14,7 @@
 
 from rootstock.replica import Replica, Stage
 
-SCHEDULES = int(os.environ.get("SCHEDULES", "900"))  # 2,100 in all; 4300 are 10,000
+SCHEDULES = int(os.environ.get("SCHEDULES", "1500"))  # 3,500 in all; 4300 are 10,000
 
 
 def play(seed: int, machines: int = 3) -> Cluster:
