--- a/troutdock/registry/control_plane_calls.py
+++ b/troutdock/registry/control_plane_calls.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -10,7 +9,8 @@
 
 import msgspec
 
-from troutdock.settings.configuration import RejectedConfiguration, read_configuration
+from troutdock.registry.order_validation import OrderValidator
+from troutdock.settings.configuration import RejectedConfiguration
 from troutdock.settings.table import (
     Setting,
     SettingsError,
@@ -27,8 +27,6 @@
 from troutdock.endpoints.endpoint_table import tombstone
 
 MAX_HEARTBEAT_BYTES = 4096
-# a longer configuration is parsed in a thread, since that takes some tenths of a second
-MAX_INLINE_PARSE_BYTES = 256 * 1024
 _STATES = {"available": READY, "draining": DRAINING}
 _ID = re.compile(r"[\x21-\x2e\x30-\x7e]{1,128}")
 MAX_INTEGER = 1 << 53  # in a JSON body
@@ -138,8 +136,8 @@
 class ConfigurationCalls:
     """`POST /configuration/replace` and `GET /configuration/describe`."""
 
-    def __init__(self, registry: Registry) -> None:
-        self._registry = registry
+    def __init__(self, registry: Registry, validator: OrderValidator) -> None:
+        self._registry, self._validator = registry, validator
 
     async def replace(self, body: bytes) -> HttpResponse:
         """Stores a complete configuration; succeeds once two disks have it, or one with a higher revision.
@@ -147,15 +145,12 @@
         Responds with 409 if its revision is taken by another body; the response contains revision and digest
         of the stored one.
         """
-        if len(body) > MAX_INLINE_PARSE_BYTES:
-            result = await asyncio.to_thread(read_configuration, body)
-        else:
-            result = read_configuration(body)
-        if isinstance(result, RejectedConfiguration):
-            return error_response(400, str(result))
-        if not result.version:
+        version = await self._validator.validate(body)
+        if isinstance(version, RejectedConfiguration):
+            return error_response(400, str(version))
+        if not version:
             return error_response(400, "revision: 'r0' is below the first, r1")
-        failed = await self._registry.store_configuration(result.version, body)
+        failed = await self._registry.store_configuration(version, body)
         return HttpResponse(200) if failed is None else failed.response
 
     async def describe(self) -> HttpResponse:
--- a/troutdock/registry/daemon.py
+++ b/troutdock/registry/daemon.py
@@ -34,6 +34,7 @@
     ControlPlaneRouter,
     SystemCalls,
 )
+from troutdock.registry.order_validation import OrderValidator
 from troutdock.registry.storage import InstanceStorage
 from troutdock.registry.registry import (
     Action,
@@ -52,6 +53,7 @@
 TICK_INTERVAL_S = 0.1
 MAX_BUFFERED_CONFIGURATIONS = 4  # limit for all buffered request bodies, in largest configurations
 STORE_TIMEOUT_S = 0.9  # for the store's response; clients try another machine after 1 s
+MIN_BYTES_PER_S = 2e6  # slowest expected transfer of a configuration to the store's disks
 DISK_READ_TIMEOUT_S = 1.0  # wait for the disk at start-up; a later result is merged when it arrives
 REOPEN_INTERVAL_S = 0.5  # between two attempts to read the disk
 JSON_WHITESPACE = b" \t\r\n"  # removed around a JSON body: a message loses it
@@ -103,7 +105,9 @@
             lambda: PeerConnection(self._hello, self._on_message, self._on_connected, self._on_disconnected)
         )
         instances = InstanceCalls(self, self._lookup)
-        router = ControlPlaneRouter(instances, ConfigurationCalls(self), SystemCalls(self._status))
+        self._validator = OrderValidator()
+        configuration = ConfigurationCalls(self, self._validator)
+        router = ControlPlaneRouter(instances, configuration, SystemCalls(self._status))
         max_body = max_configuration_bytes(boot.values["limits.memoryMb"])
         self._control_server = HttpServer(router.handle, max_body, MAX_BUFFERED_CONFIGURATIONS * max_body)
         self._control_port = 0
@@ -362,13 +366,15 @@
     def _primary(self) -> PeerConnection | None:
         return next(reversed(self._primaries), None)
 
-    async def _call_store(self, message: Write | Read) -> WriteAck | ReadAck | None:
+    async def _call_store(
+        self, message: Write | Read, timeout_s: float = STORE_TIMEOUT_S
+    ) -> WriteAck | ReadAck | None:
         connection = self._primary()
         if connection is None or not connection.send(message):
             return None
         call = self._store_calls[message.number] = _StoreCall(connection, self._loop.create_future())
         try:
-            async with asyncio.timeout(STORE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await call.response
         except TimeoutError:
             return None
@@ -382,7 +388,9 @@
     async def store_configuration(self, version: int, body: bytes) -> CallFailure | None:
         body = body.strip(JSON_WHITESPACE)
         request = Write(self._next_number(), version, msgspec.Raw(body), self._hello.life, body_digest(body))
-        response = await self._call_store(request)
+        # clients wait longer for an answer to a long body
+        timeout_s = STORE_TIMEOUT_S + len(body) / MIN_BYTES_PER_S
+        response = await self._call_store(request, timeout_s)
         if isinstance(response, WriteAck):
             if response.conflict:
                 log.warning(
@@ -413,6 +421,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._control_server.close()
+        self._validator.close()
         self._listener.close()
         for connector in (*self._registries.values(), *self._stores.values()):
             connector.close()
--- a/troutdock/settings/configuration.py
+++ b/troutdock/settings/configuration.py
@@ -6,27 +6,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections import deque
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import Any
-
-import msgspec
-
-from troutdock.settings.table import (
-    REQUIRED,
-    Setting,
-    SettingsError,
-    SettingsTable,
-    boolean,
-    integer,
-    list_of,
-    number,
-    one_of,
-    or_none,
-    string,
+from typing import Any, TypeVar
+
+from msgspec import Raw, Struct
+
+from troutdock.settings.configuration_rows import (
+    InvalidConfiguration,
+    RouteRow,
+    ServiceRow,
+    TableReader,
+    TenantRow,
+    decode_json,
 )
+from troutdock.settings.table import REQUIRED, Setting, SettingsError, SettingsTable, integer, number
 
-# memory per byte of the longest configuration: parsing takes 14 times its size, and proxies have less memory
+# memory per byte of the longest configuration; docs/system.md has what each program needs for one
 MEMORY_DIVISOR = 64
 MIN_SIZE_LIMIT_BYTES = 1 << 20  # bytes that are accepted however small the memory
 
@@ -44,12 +41,7 @@
         return f"{self.location}: {self.reason}"
 
 
-class _InvalidConfiguration(Exception):
-    pass
-
-
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True, gc=False):
     """Routing of requests for a host and a path prefix. split: one or more services with their weights."""
 
     name: str
@@ -64,8 +56,7 @@
     split: tuple[tuple[str, float], ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True, gc=False):
     """A service. max_connections: of one backend, over all clients; 0: not given."""
 
     name: str
@@ -73,8 +64,7 @@
     max_connections: int
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
+class Tenant(Struct, frozen=True, gc=False):
     """A tenant. rate: requests per second over all ingress proxies (0: no limit); burst: extra requests."""
 
     name: str
@@ -105,49 +95,6 @@
     tenants: tuple[Tenant, ...] | None = None
 
 
-def _check_path_prefix(value: Any) -> str | None:
-    return (
-        None
-        if isinstance(value, str) and value[:1] == value[-1:] == "/"
-        else "not a path that begins and ends with a slash"
-    )
-
-
-_check_split = list_of(
-    lambda item: (
-        None
-        if isinstance(item, Mapping) and not string(item.get("service")) and not number(0)(item.get("weight"))
-        else "not a service with a weight of at least 0"
-    )
-)
-
-ROUTE_SETTINGS = SettingsTable(
-    Setting("name", or_none(string), None),
-    Setting("hostname", string),
-    Setting("pathPrefix", _check_path_prefix),
-    Setting("routeType", one_of(READ_ONLY, MUTATING)),
-    Setting("timeoutS", number(0.001)),
-    Setting("targetLatencyS", or_none(number(0.001)), None),
-    Setting("priority", or_none(integer(0)), None),
-    Setting("trafficSplit", or_none(_check_split), None),
-    Setting("maxAttempts", or_none(integer(1)), None),
-    Setting("public", or_none(boolean), None),
-    Setting("service", or_none(string), None),
-)
-SERVICE_SETTINGS = SettingsTable(
-    Setting("name", string),
-    Setting("healthPath", or_none(string), None),
-    Setting("maxConnections", or_none(integer(1)), None),
-    Setting("protocol", or_none(one_of("h1")), None),
-    Setting("tls", or_none(one_of(False)), None),
-)
-TENANT_SETTINGS = SettingsTable(
-    Setting("name", string),
-    Setting("apiKeys", list_of(string)),
-    Setting("priority", or_none(integer(0)), None),
-    Setting("ratePerS", or_none(number(0)), None),
-    Setting("burst", or_none(number(0)), None),
-)
 LIMITS_SETTINGS = SettingsTable(
     Setting("maxHeaderBytes", integer(256), 16_384),
     Setting("maxBodyBytes", integer(0), 64 * 1024 * 1024),
@@ -156,37 +103,52 @@
 )
 
 
-def _parse_rows(data: Any, location: str, table: SettingsTable) -> Iterable[tuple[str, dict[str, Any]]]:
-    """Yields the location of each row and its checked values by column.
+_Shared = TypeVar("_Shared", Route, Tenant)
+_ABSENT = Raw()
 
-    Raises:
-        _InvalidConfiguration: The table or a row is invalid.
-    """
-    if not isinstance(data, Mapping):
-        raise _InvalidConfiguration(location, "not a table of columns and rows")
-    columns: Any = None
-    rows: Any = None
-    columns, rows = data.get("columns"), data.get("rows")
-    if problem := list_of(string)(columns):
-        raise _InvalidConfiguration(f"{location}.columns", problem)
-    if not isinstance(rows, list):
-        raise _InvalidConfiguration(f"{location}.rows", "not a list")
-    if len(set(columns)) != len(columns):
-        raise _InvalidConfiguration(f"{location}.columns", "duplicate column name")
-    for index, row in enumerate(rows):
-        row_location = f"{location}.rows[{index}]"
-        if not isinstance(row, list) or len(row) != len(columns):
-            raise _InvalidConfiguration(row_location, f"not a list of {len(columns)} values")
+
+class _Document(Struct):
+    """The top level of a configuration; the tables are decoded later, one after the other."""
+
+    revision: Any = None
+    routes: Raw = _ABSENT
+    services: Raw = _ABSENT
+    limits: Any = None
+    tenants: Raw = _ABSENT
+
+    @property
+    def has_tenants(self) -> bool:
+        """Whether there is a table of tenants; null means that it is left out."""
+        return self.tenants not in (_ABSENT, Raw(b"null"))
+
+
+def _decode_document(body: bytes) -> _Document:
+    if not body.isascii():
         try:
-            # null means that the value is left out
-            yield (
-                row_location,
-                table.read(
-                    {name: value for name, value in zip(columns, row, strict=True) if value is not None}
-                ),
-            )
-        except SettingsError as error:
-            raise _InvalidConfiguration(row_location, str(error)) from error
+            body.decode()  # Raw fields and unknown fields are not checked by the decoder
+        except UnicodeDecodeError as error:
+            raise InvalidConfiguration("body", str(error)) from error
+    document: _Document = decode_json(body, _Document, "body")
+    return document
+
+
+def _required(table: Raw, name: str) -> Raw:
+    if table == _ABSENT:
+        raise InvalidConfiguration(name, REQUIRED.reason)
+    return table
+
+
+def _parse_limits(data: Any) -> Limits:
+    try:
+        values = LIMITS_SETTINGS.read(data or {})
+    except SettingsError as error:
+        raise InvalidConfiguration("limits", str(error)) from error
+    return Limits(
+        values["maxHeaderBytes"],
+        values["maxBodyBytes"],
+        values["headerTimeoutS"] * 1000,
+        values["idleTimeoutS"] * 1000,
+    )
 
 
 def _parse_version(value: Any) -> int:
@@ -197,69 +159,102 @@
         or not value[1:].isdigit()
         or len(value) > 19
     ):
-        raise _InvalidConfiguration("revision", f"{value!r:.40} is not the letter r followed by a number")
+        raise InvalidConfiguration("revision", f"{value!r:.40} is not the letter r followed by a number")
     return int(value[1:])
 
 
-def _parse_routes(data: Any, services: Mapping[str, Service]) -> tuple[Route, ...]:
-    routes: list[Route] = []
-    locations: dict[tuple[str, str], str] = {}
-    for row_location, row in _parse_rows(data, "routes", ROUTE_SETTINGS):
-        traffic_split = row["trafficSplit"]
-        if traffic_split is None and row["service"] is None:
-            raise _InvalidConfiguration(row_location, "neither service nor trafficSplit is given")
-        split = (
-            [(part["service"], float(part["weight"])) for part in traffic_split]
-            if traffic_split is not None
-            else [(row["service"], 1.0)]
-        )
-        for name, _ in split:
-            if name not in services:
-                raise _InvalidConfiguration(row_location, f"unknown service {name!r:.60}")
-        if not sum(weight for _, weight in split) > 0:
-            raise _InvalidConfiguration(row_location, "the weights add up to 0")
-        host = row["hostname"].lower()
-        if (first := locations.setdefault((host, row["pathPrefix"]), row_location)) != row_location:
-            raise _InvalidConfiguration(row_location, f"same hostname and pathPrefix as {first}")
-        timeout_ms = row["timeoutS"] * 1000
-        target_latency_ms = row["targetLatencyS"] * 1000 if row["targetLatencyS"] else timeout_ms
-        routes.append(
-            Route(
-                row["name"] or f"{host}{row['pathPrefix']}",
-                host,
-                row["pathPrefix"],
-                row["routeType"] == READ_ONLY,
-                timeout_ms,
-                target_latency_ms,
-                row["priority"] or 0,
-                row["maxAttempts"] or 1,
-                bool(row["public"]),
-                tuple(split),
-            )
-        )
-    return tuple(routes)
-
-
-def _parse_tenants(data: Any) -> tuple[Tenant, ...]:
-    tenants: list[Tenant] = []
-    keys: dict[str, str] = {}
-    names: dict[str, str] = {}
-    for row_location, row in _parse_rows(data, "tenants", TENANT_SETTINGS):
-        if (first := names.setdefault(row["name"], row_location)) != row_location:
-            raise _InvalidConfiguration(row_location, f"same name as {first}")
-        for key in row["apiKeys"]:
-            if (first := keys.setdefault(key, row_location)) != row_location:
-                raise _InvalidConfiguration(row_location, f"API key is used in {first}, too")
-        tenants.append(
-            Tenant(
-                row["name"],
-                tuple(row["apiKeys"]),
-                row["priority"],
-                float(row["ratePerS"] or 0),
-                float(row["burst"] or 0),
-            )
-        )
-    return tuple(tenants)
+def _parse_split(
+    row: RouteRow, location: str, services: Mapping[str, Service]
+) -> tuple[tuple[str, float], ...]:
+    """Returns the services of a route with their weights."""
+    if row.traffic_split is not None:
+        split = tuple((part.service, part.weight) for part in row.traffic_split)
+    elif row.service is not None:
+        split = ((row.service, 1.0),)
+    else:
+        raise InvalidConfiguration(location, "neither service nor trafficSplit is given")
+    for name, _ in split:
+        if name not in services:
+            raise InvalidConfiguration(location, f"unknown service {name!r:.60}")
+    if not sum(weight for _, weight in split) > 0:
+        raise InvalidConfiguration(location, "the weights add up to 0")
+    return split
+
+
+def _parse_route(row: RouteRow, location: str, services: Mapping[str, Service]) -> Route:
+    prefix, route_type = row.path_prefix, row.route_type
+    if prefix[0] != "/" or prefix[-1] != "/":
+        reason = f"pathPrefix: {prefix!r:.80} is not a path that begins and ends with a slash"
+        raise InvalidConfiguration(location, reason)
+    if route_type not in (READ_ONLY, MUTATING):
+        reason = f"routeType: {route_type!r:.80} is not one of {READ_ONLY}, {MUTATING}"
+        raise InvalidConfiguration(location, reason)
+    split = _parse_split(row, location, services)
+    host = row.hostname.lower()
+    timeout_ms = row.timeout_s * 1000
+    return Route(
+        row.name or f"{host}{prefix}",
+        host,
+        prefix,
+        route_type == READ_ONLY,
+        timeout_ms,
+        row.target_latency_s * 1000 if row.target_latency_s else timeout_ms,
+        row.priority or 0,
+        row.max_attempts or 1,
+        bool(row.public),
+        split,
+    )
+
+
+def _parse_routes(data: Raw, services: Mapping[str, Service]) -> Iterator[Route]:
+    """Yields the routes of a table.
+
+    Raises:
+        InvalidConfiguration: A row is invalid, or two have the same hostname and pathPrefix.
+    """
+    first_rows: dict[tuple[str, str], int] = {}
+    table = TableReader(data, "routes", RouteRow)
+    for index, row in enumerate(table):
+        route = _parse_route(row, table.row_location(index), services)
+        if (first := first_rows.setdefault((route.host, route.prefix), index)) != index:
+            reason = f"same hostname and pathPrefix as {table.row_location(first)}"
+            raise InvalidConfiguration(table.row_location(index), reason)
+        yield route
+
+
+def _parse_services(data: Raw) -> dict[str, Service]:
+    services: dict[str, Service] = {}
+    table = TableReader(data, "services", ServiceRow)
+    for index, row in enumerate(table):
+        location = table.row_location(index)
+        if row.name in services:
+            raise InvalidConfiguration(location, f"duplicate service {row.name!r:.60}")
+        if row.protocol not in (None, "h1"):
+            raise InvalidConfiguration(location, f"protocol: {row.protocol!r:.80} is not one of h1")
+        if row.tls:
+            raise InvalidConfiguration(location, "tls: True is not one of False")
+        services[row.name] = Service(row.name, row.health_path or "", row.max_connections or 0)
+    return services
+
+
+def _parse_tenants(data: Raw) -> Iterator[Tenant]:
+    """Yields the tenants of a table.
+
+    Raises:
+        InvalidConfiguration: A row is invalid, or a name or an API key is used twice.
+    """
+    first_with_key: dict[str, int] = {}
+    first_with_name: dict[str, int] = {}
+    table = TableReader(data, "tenants", TenantRow)
+    for index, row in enumerate(table):
+        if (first := first_with_name.setdefault(row.name, index)) != index:
+            reason = f"same name as {table.row_location(first)}"
+            raise InvalidConfiguration(table.row_location(index), reason)
+        for key in row.api_keys:
+            if (first := first_with_key.setdefault(key, index)) != index:
+                reason = f"API key is used in {table.row_location(first)}, too"
+                raise InvalidConfiguration(table.row_location(index), reason)
+        yield Tenant(row.name, row.api_keys, row.priority, row.rate_per_s or 0.0, row.burst or 0.0)
 
 
 def max_configuration_bytes(memory_mb: int) -> int:
@@ -267,38 +262,52 @@
     return max(MIN_SIZE_LIMIT_BYTES, (memory_mb << 20) // MEMORY_DIVISOR)
 
 
-def read_configuration(body: bytes) -> Configuration | RejectedConfiguration:
-    """Parses a configuration, or returns why it is rejected. body: JSON as the operator sent it."""
-    try:
-        configuration = msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return RejectedConfiguration("body", str(error))
-    if not isinstance(configuration, dict):
-        return RejectedConfiguration("body", "not an object")
+def _share(known: _Shared | None, parsed: _Shared) -> _Shared:
+    """Returns the known object if it is equal to the parsed one."""
+    return known if known is not None and known == parsed else parsed
+
+
+def read_configuration(
+    body: bytes, previous: Configuration | None = None
+) -> Configuration | RejectedConfiguration:
+    """Parses a configuration, or returns why it is rejected.
+
+    Args:
+        body: JSON as the operator sent it.
+        previous: An earlier version. Routes and tenants that are equal in both are the same objects, so that
+            a caller that holds both versions needs little more memory than for one.
+    """
+    known_routes = {(r.host, r.prefix): r for r in previous.routes} if previous is not None else {}
+    known_tenants = {t.name: t for t in previous.tenants or ()} if previous is not None else {}
     try:
-        version = _parse_version(configuration.get("revision"))
-        for name in ("routes", "services"):
-            if name not in configuration:
-                raise _InvalidConfiguration(name, REQUIRED.reason)
-        services: dict[str, Service] = {}
-        for row_location, row in _parse_rows(configuration["services"], "services", SERVICE_SETTINGS):
-            if row["name"] in services:
-                raise _InvalidConfiguration(row_location, f"duplicate service {row['name']!r:.60}")
-            services[row["name"]] = Service(row["name"], row["healthPath"] or "", row["maxConnections"] or 0)
-        routes = _parse_routes(configuration["routes"], services)
-        try:
-            limit_values = LIMITS_SETTINGS.read(configuration.get("limits") or {})
-        except SettingsError as error:
-            raise _InvalidConfiguration("limits", str(error)) from error
-        limits = Limits(
-            limit_values["maxHeaderBytes"],
-            limit_values["maxBodyBytes"],
-            limit_values["headerTimeoutS"] * 1000,
-            limit_values["idleTimeoutS"] * 1000,
-        )
-        tenants = (
-            _parse_tenants(configuration["tenants"]) if configuration.get("tenants") is not None else None
-        )
-    except _InvalidConfiguration as invalid:
-        return RejectedConfiguration(*invalid.args)
+        document = _decode_document(body)
+        version = _parse_version(document.revision)
+        services = _parse_services(_required(document.services, "services"))
+        parsed_routes = _parse_routes(_required(document.routes, "routes"), services)
+        routes = tuple(_share(known_routes.get((r.host, r.prefix)), r) for r in parsed_routes)
+        limits = _parse_limits(document.limits)
+        tenants = None
+        if document.has_tenants:
+            tenants = tuple(_share(known_tenants.get(t.name), t) for t in _parse_tenants(document.tenants))
+    except InvalidConfiguration as invalid:
+        return RejectedConfiguration(invalid.location, invalid.reason)
     return Configuration(version, routes, services, limits, tenants)
+
+
+def _discard(rows: Iterator[object]) -> None:
+    deque(rows, maxlen=0)
+
+
+def check_configuration(body: bytes) -> int | RejectedConfiguration:
+    """Validates a configuration without keeping its rows; returns its version, or why it is rejected."""
+    try:
+        document = _decode_document(body)
+        version = _parse_version(document.revision)
+        services = _parse_services(_required(document.services, "services"))
+        _discard(_parse_routes(_required(document.routes, "routes"), services))
+        _parse_limits(document.limits)
+        if document.has_tenants:
+            _discard(_parse_tenants(document.tenants))
+    except InvalidConfiguration as invalid:
+        return RejectedConfiguration(invalid.location, invalid.reason)
+    return version
