Registry: reads share one read of the store; HTTP responses and bodies are bounded

Cause: each read fetched a body of its own from the primary, and each response was a copy. Responses that clients did not read had no limit, and the body of a caller that had left was held but not counted. Fix: callers that wait share the next read, which begins after their calls, so it is as new as one of their own. Bodies are shared by connections and counted once; a response that is not read for 10 s ends its connection; a body counts until its request is done.

--- a/tests/system/test_long_configurations.py
+++ b/tests/system/test_long_configurations.py
@@ -63,6 +63,24 @@
         assert core.peak_mb("registry") < MEMORY_MB and core.peak_mb("config_store") < MEMORY_MB
 
 
+# guards against: each read of a long configuration held copies of its own in registry and store
+def test_sixty_reads_at_once_stay_within_memory(tmp_path: Path) -> None:
+    async def scenario(core: CoreMachine) -> None:
+        await first_contact(core)
+        body = long_configuration(100)
+        await send_order(core.control, body)
+        reads = await asyncio.gather(
+            *(call(core.control, "GET", "/configuration/describe") for _ in range(60))
+        )
+        assert all(answer == body for status, _, answer in reads if status == 200)
+        assert {status for status, _, _ in reads} <= {200, 503}
+        assert sum(status == 200 for status, _, _ in reads) >= 30
+
+    with CoreMachine(tmp_path) as core:
+        asyncio.run(asyncio.wait_for(scenario(core), 60))
+        assert core.peak_mb("registry") < MEMORY_MB and core.peak_mb("config_store") < MEMORY_MB
+
+
 def test_validation_and_parsing_agree_and_unchanged_rows_are_shared() -> None:
     first, second = (read_configuration(long_configuration(version, 500)) for version in (1, 2))
     assert isinstance(first, Configuration) and isinstance(second, Configuration)
--- a/troutdock/registry/daemon.py
+++ b/troutdock/registry/daemon.py
@@ -35,6 +35,7 @@
     SystemCalls,
 )
 from troutdock.registry.order_validation import OrderValidator
+from troutdock.registry.shared_read import SharedRead
 from troutdock.registry.storage import InstanceStorage
 from troutdock.registry.registry import (
     Action,
@@ -98,6 +99,8 @@
         # by store: a configuration with the current version and another body
         self._conflicting_configs: dict[PeerConnection, Config] = {}
         self._store_calls: dict[int, _StoreCall] = {}
+        self._shared_read = SharedRead(self._read_newest)
+        self._last_read_body = b""
         self._dropped_responses = 0  # responses of the store that belonged to no call
         self._waiters: dict[int, asyncio.Future[RequestCompleted]] = {}
         self._last_number = 0
@@ -408,10 +411,23 @@
         return CallFailure(503, why if self.registry.contact else "out of contact with the store's primary")
 
     async def newest_configuration(self) -> tuple[int, bytes] | CallFailure:
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                return await self._shared_read.result()
+        except TimeoutError:
+            return self._no_response()
+
+    async def _read_newest(self) -> tuple[int, bytes] | CallFailure:
+        """Reads from the store. Callers of one version share its bytes, however slowly they take them."""
         response = await self._call_store(Read(self._next_number(), self._hello.life))
-        if isinstance(response, ReadAck) and response.version >= 0:
-            return response.version, bytes(response.body)
-        return CallFailure(503, response.why) if isinstance(response, ReadAck) else self._no_response()
+        if not isinstance(response, ReadAck):
+            return self._no_response()
+        if response.version < 0:
+            return CallFailure(503, response.why)
+        body = bytes(response.body)
+        if body != self._last_read_body:
+            self._last_read_body = body
+        return response.version, self._last_read_body
 
     def close(self) -> None:
         """Stops the process's servers, connections and timers; may be called more than once."""
--- a/troutdock/rpc/http_calls.py
+++ b/troutdock/rpc/http_calls.py
@@ -3,6 +3,10 @@
 This module does the framing and enforces the limits; the handler gives requests their meaning. Each request
 is passed to the handler with its complete body. Clients are programs that try another machine after a
 second without a response, so a request that cannot be processed is answered with 503 at once.
+
+Memory is bounded for requests and for responses. A body counts until its request is answered, also if the
+client has left meanwhile. Responses that clients have not read yet count once for each distinct body, since
+connections share the bytes; a client that does not read its response for RESPONSE_TIMEOUT_S is disconnected.
 """
 
 from __future__ import annotations
@@ -26,6 +30,7 @@
 MAX_BODY_BYTES = 64 * 1024  # default limit for one body
 MAX_DISCARDED_BYTES = 128 * 1024 * 1024  # of a rejected body, read so that the client receives the response
 IDLE_TIMEOUT_S = 30.0  # for a connection without a request in progress
+RESPONSE_TIMEOUT_S = 10.0  # for a client to read its response
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -100,6 +105,12 @@
             connection.close_if_idle(loop.time())
         self._sweep_timer = loop.call_later(1.0, self._close_idle_connections)
 
+    def can_send(self, body: bytes) -> bool:
+        """Returns whether a response body fits beside those that clients have not read yet."""
+        unread = {id(sent): len(sent) for c in self.connections if (sent := c.unread_body)}
+        unread[id(body)] = len(body)
+        return len(unread) == 1 or sum(unread.values()) <= self.max_buffered_bytes
+
     def register(self, connection: _HttpConnection) -> None:
         """Adds a connection; above MAX_CONNECTIONS, closes the oldest one that is not busy."""
         if len(self.connections) >= MAX_CONNECTIONS:
@@ -129,6 +140,8 @@
         self._task: asyncio.Task[None] | None = None
         self._idle_since = asyncio.get_running_loop().time()
         self._buffered_bytes = 0  # the part of the server's buffered_bytes that belongs to this connection
+        self._handled_bytes = 0  # the part of that which the handler is processing
+        self._response_body = b""  # of the last response
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -141,6 +154,13 @@
         """Whether a request is in progress."""
         return self._task is not None
 
+    @property
+    def unread_body(self) -> bytes:
+        """The body of the last response, empty once the client has read it."""
+        if self._response_body and not self._transport.get_write_buffer_size():
+            self._response_body = b""
+        return self._response_body
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
         self._server.register(self)
@@ -151,12 +171,20 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.pop(self, None)
-        self._count_buffered(-self._buffered_bytes)
+        self._pending.clear()
+        self._body.clear()
+        self._response_body = b""
+        self._count_buffered(self._handled_bytes - self._buffered_bytes)
         self._parser = None  # it refers to this object: breaks the reference cycle
 
     def close_if_idle(self, now: float) -> None:
-        """Closes the connection after IDLE_TIMEOUT_S without a request in progress."""
-        if not self.busy and now - self._idle_since > IDLE_TIMEOUT_S:
+        """Closes the connection if it is idle, or aborts it if the client does not read its response."""
+        if self.busy:
+            return
+        idle_s = now - self._idle_since
+        if idle_s > RESPONSE_TIMEOUT_S and self._transport.get_write_buffer_size():
+            self._transport.abort()
+        elif idle_s > IDLE_TIMEOUT_S:
             self.close()
 
     def close(self) -> None:
@@ -221,16 +249,10 @@
         try:
             while self._pending and not self._transport.is_closing():
                 request, keep_alive = self._pending.popleft()
-                try:
-                    response = (
-                        self._error_response(request)
-                        if request.error_status
-                        else await self._server.handler(request)
-                    )
-                except Exception:  # a fault in the handler fails this request only
-                    log.exception("Request failed: {}.", request.path.decode(errors="replace"))
-                    response = HttpResponse(500)
-                self._count_buffered(-min(self._buffered_bytes, len(request.body)))
+                response = await self._handle(request)
+                del request  # its body is not counted any more
+                if self._transport.is_closing():
+                    break
                 self._write(response, keep_alive)
                 if not keep_alive:
                     self._transport.close()
@@ -238,6 +260,19 @@
             self._task = None
             self._idle_since = asyncio.get_running_loop().time()
 
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.error_status:
+            return self._error_response(request)
+        self._handled_bytes = len(request.body)
+        try:
+            return await self._server.handler(request)
+        except Exception:  # a fault in the handler fails this request only
+            log.exception("Request failed: {}.", request.path.decode(errors="replace"))
+            return HttpResponse(500)
+        finally:
+            self._count_buffered(-self._handled_bytes)
+            self._handled_bytes = 0
+
     def _error_response(self, request: HttpRequest) -> HttpResponse:
         limit = (
             "server buffers are full"
@@ -248,6 +283,8 @@
         return HttpResponse(request.error_status, b'{"error":"%b"}' % reason.encode())
 
     def _write(self, response: HttpResponse, keep_alive: bool) -> None:
+        if not self._server.can_send(response.body):
+            response = HttpResponse(503, b'{"error":"server buffers are full"}')
         lines = [
             b"HTTP/1.1 %d %b" % (response.status, _REASON_PHRASES.get(response.status, b"")),
             b"Content-Length: %d" % len(response.body),
@@ -258,4 +295,7 @@
             lines.append(b"Location: " + response.location.encode())
         if not keep_alive:
             lines.append(b"Connection: close")
-        self._transport.write(b"\r\n".join([*lines, b"", response.body]))
+        lines += [b"", b""]
+        self._response_body = response.body
+        # the body is not copied, so several connections may share it
+        self._transport.writelines([b"\r\n".join(lines), response.body])
