--- a/tests/system/test_store_bounds.py
+++ b/tests/system/test_store_bounds.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from msgspec import Raw
+
+from troutdock.config_store.configuration_requests import ClientRequests
 from troutdock.config_store.voter_changes import unmet_tolerance
 from troutdock.config_store.replica_state import FaultTolerance, DurableState, Peer, ReplicaState
-from troutdock.rpc.messages import ReadAck, Record, Status
+from troutdock.rpc.messages import ReadAck, Record, Status, Write
 
 
 @pytest.mark.parametrize(
@@ -90,3 +93,20 @@
         assert cluster.acknowledged == 2 and any(
             isinstance(a, ReadAck) and (a.number, a.version) == (number, 2) for a in cluster.answers
         )
+
+
+# guards against: the primary held the body of every queued write, 64 of the longest
+def test_the_store_keeps_the_body_of_the_highest_queued_write_only() -> None:
+    durable = DurableState(blank=False, voters=("10.0.0.1",))
+    state = ReplicaState("10.0.0.1", FaultTolerance(), 1, durable, 0.0)
+    requests = ClientRequests(state, _EstablishedContact())  # type: ignore[arg-type]
+    for number, version in enumerate((5, 9, 7, 8)):
+        requests.write("@r", Write(number, version, Raw(b'"%d"' % version)))
+    assert [write.body for write in requests._queue] == [b"", b'"9"', b"", b""]
+    batch = requests.next_batch()
+    assert batch is not None and batch[:2] == (9, b'"9"')
+    assert [version for version, _ in batch[2]] == [5, 9, 7, 8]
+
+
+class _EstablishedContact:
+    established = True
--- a/troutdock/config_store/configuration_requests.py
+++ b/troutdock/config_store/configuration_requests.py
@@ -37,7 +37,11 @@
 
 @dataclass(slots=True)
 class _PendingWrite:
-    """A queued configuration, its callers, and the callers that sent another body under the same version."""
+    """A queued configuration, its callers, and the callers that sent another body under the same version.
+
+    The body is dropped as soon as a higher version is queued: the batch that contains both stores only the
+    body of the highest.
+    """
 
     version: int
     digest: str
@@ -94,7 +98,16 @@
         elif len(self._queue) >= MAX_QUEUED_WRITES:
             self._answer(caller, "write queue is full")
         else:
-            self._queue.append(_PendingWrite(write.version, digest, body, [caller]))
+            self._enqueue(_PendingWrite(write.version, digest, body, [caller]))
+
+    def _enqueue(self, write: _PendingWrite) -> None:
+        """Appends a write; only the highest version of the queue keeps its body."""
+        for queued in self._queue:
+            if queued.version < write.version:
+                queued.body = b""
+            else:
+                write.body = b""
+        self._queue.append(write)
 
     def next_batch(self) -> tuple[int, bytes, list[tuple[int, str]]] | None:
         """Takes all queued writes as the next batch to replicate.
