Connections: a newer configuration replaces queued ones that have not begun to be sent

Cause: a peer that reads slowly (a proxy that compiles, a full link) made its sender hold every configuration since, up to 80 MB a connection. Fix: a Config replaces earlier ones in the queue of which no byte has been sent; its receiver needs only the newest. Order among other messages is as before. The new test needs the argument that this adds.

--- a/tests/system/test_large_messages.py
+++ b/tests/system/test_large_messages.py
@@ -177,6 +177,21 @@
     tracemalloc.stop()
 
 
+# guards against: a peer that reads slowly made its sender hold every configuration since
+def test_a_newer_configuration_replaces_those_that_have_not_begun_to_be_sent() -> None:
+    queue = SendQueue()
+    queue.put(b"a" * 200_000, True)
+    begun = queue.next_frame()
+    queue.put(b"write" * 40_000)
+    for letter in (b"b", b"c"):
+        queue.put(letter * 200_000, True)
+        assert queue.queued_bytes == 600_000 - 65_536
+    frames = [begun, *iter(queue.next_frame, None)]
+    content = b"".join(frame for frame in frames if frame is not None)
+    assert content.count(b"a") == content.count(b"c") == 200_000 and b"bb" not in content
+    assert content.index(b"write") < content.index(b"cc") and queue.queued_bytes == 0
+
+
 # ---- connections, on a simulated transport
 
 
--- a/troutdock/rpc/connection.py
+++ b/troutdock/rpc/connection.py
@@ -9,7 +9,9 @@
 connection closes.
 
 Messages are delivered in the order of sending, except the types in EXPEDITED_MESSAGES. These report a
-current state and request nothing, so they are sent ahead of the queue. A payload longer than a chunk is
+current state and request nothing, so they are sent ahead of the queue. A message of LATEST_ONLY_MESSAGES
+replaces earlier ones in the queue that have not begun to be sent: its receiver needs only the newest, and a
+slow receiver must not make the sender hold them all. A payload longer than a chunk is
 split into chunks. They are handed to the transport as the peer reads, so that at most
 MAX_WRITE_BUFFER_BYTES of it precede a ping. A connection whose peer does not read is closed at
 MAX_UNSENT_BYTES.
@@ -34,6 +36,7 @@
 import logbook
 
 from troutdock.rpc.messages import (
+    Config,
     Fresh,
     Hello,
     Message,
@@ -69,6 +72,7 @@
 MAX_UNSENT_BYTES = MAX_PAYLOAD_BYTES + (1 << 20)  # queued for a peer that does not read
 MAX_WRITE_BUFFER_BYTES = 2 * CHUNK_BYTES  # in the transport; above this, no further chunk is written
 MAX_HELLO_BYTES = 4096  # limit for the first message of a connection
+LATEST_ONLY_MESSAGES = (Config,)  # each supersedes the earlier ones
 EXPEDITED_MESSAGES = (Ping, Status, Probe, ProbeAck, Fresh)  # sent ahead of others, in order among themselves
 
 monotonic_time = time.monotonic  # the time of the event loop does not advance while a callback runs
@@ -144,16 +148,16 @@
             False if the connection is closed, or exceeds MAX_UNSENT_BYTES and is aborted.
         """
         payload = encode(message)
-        return self.send_payload(
-            payload, isinstance(message, EXPEDITED_MESSAGES) and len(payload) <= CHUNK_BYTES
-        )
+        expedited = isinstance(message, EXPEDITED_MESSAGES) and len(payload) <= CHUNK_BYTES
+        return self.send_payload(payload, expedited, isinstance(message, LATEST_ONLY_MESSAGES))
 
-    def send_payload(self, payload: bytes, expedited: bool = False) -> bool:
+    def send_payload(self, payload: bytes, expedited: bool = False, latest_only: bool = False) -> bool:
         """Sends an encoded message. The bytes are not copied, so several connections may share them.
 
         Args:
             payload: The encoded message.
             expedited: Whether to send it ahead of the queue.
+            latest_only: Whether it replaces queued payloads that were sent with this argument.
 
         Returns:
             False if the connection is closed, or exceeds MAX_UNSENT_BYTES and is aborted.
@@ -179,7 +183,7 @@
         ):
             self._write(encode_frame(payload))
         else:
-            self._send_queue.put(payload)
+            self._send_queue.put(payload, latest_only)
             self._flush()
         return True
 
@@ -280,7 +284,7 @@
     payload = encode(message)
     expedited = isinstance(message, EXPEDITED_MESSAGES) and len(payload) <= CHUNK_BYTES
     for connection in connections:
-        connection.send_payload(payload, expedited)
+        connection.send_payload(payload, expedited, isinstance(message, LATEST_ONLY_MESSAGES))
 
 
 class Connector:
--- a/troutdock/rpc/netstring.py
+++ b/troutdock/rpc/netstring.py
@@ -152,20 +152,34 @@
     __slots__ = ("_offset", "_payloads", "queued_bytes")
 
     def __init__(self) -> None:
-        self._payloads: deque[bytes] = deque()
+        self._payloads: deque[tuple[bytes, bool]] = deque()  # with whether a newer one may replace it
         self._offset = 0  # bytes of the first payload that have been taken
         self.queued_bytes = 0
 
-    def put(self, payload: bytes) -> None:
-        """Appends a payload. The bytes are not copied, so several queues may share one payload."""
-        self._payloads.append(payload)
+    def put(self, payload: bytes, replaceable: bool = False) -> None:
+        """Appends a payload. The bytes are not copied, so several queues may share one payload.
+
+        Args:
+            payload: The payload.
+            replaceable: It replaces earlier replaceable payloads of which no byte has been taken yet.
+        """
+        if replaceable:
+            self._remove_replaceable()
+        self._payloads.append((payload, replaceable))
         self.queued_bytes += len(payload)
 
+    def _remove_replaceable(self) -> None:
+        begun = 1 if self._offset else 0
+        kept = [entry for n, entry in enumerate(self._payloads) if n < begun or not entry[1]]
+        if len(kept) < len(self._payloads):
+            self._payloads = deque(kept)
+            self.queued_bytes = sum(len(payload) for payload, _ in kept) - self._offset
+
     def next_frame(self) -> bytes | None:
         """Removes and returns the next frame; None if the queue is empty."""
         if not self._payloads:
             return None
-        payload, offset = self._payloads[0], self._offset
+        payload, offset = self._payloads[0][0], self._offset
         total = len(payload)
         if total <= CHUNK_BYTES:
             self._payloads.popleft()
