Proxy: long configurations are compiled in a thread and share unchanged rows

Cause: parse and compile ran in the event loop, checks of each plan were derived anew, and two versions stood in memory whole. Fix: a loader compiles long configurations in a thread, one at a time, the newest one next; routes, tenants and plans that are equal are the same objects in both versions; key owners are made when asked. Limits of added tenants are grouped by shard once.

--- a/tests/system/test_proxy_outcomes.py
+++ b/tests/system/test_proxy_outcomes.py
@@ -23,10 +23,12 @@
 from scripted import Asker, Conn, Got, Script, Scripted, Seen, answer, good
 
 from troutdock.settings.boot import parse_boot
+from troutdock.settings.configuration import Configuration, read_configuration
 from troutdock.proxy import daemon as daemon_module
 from troutdock.proxy import request_reader
 from troutdock.proxy.daemon import Ingress
 from troutdock.proxy.request_reader import RoutedRequest
+from troutdock.proxy.route_table import RouteTable
 from troutdock.endpoints.endpoint_table import Endpoint
 from troutdock.admission import proxy_admission
 from troutdock.admission.interface import Outcome
@@ -591,7 +593,9 @@
     ingress = Ingress(boot, "nowhere", 1)
     ingress._publishing_admission.mesh = None
     ingress.transport.idle_connection_reset = lambda idle_s: None  # type: ignore[method-assign]  # rows must not influence each other's connection reuse
-    ingress._configure(1, configuration(of))
+    parsed = read_configuration(configuration(of))
+    assert isinstance(parsed, Configuration)
+    ingress._configure(RouteTable(parsed, {}))
     address = ingress.server.listen((ip, 0), hold=True)
     ingress._start_accepting()
     ingress._sweep_connections()
--- a/troutdock/admission/interface.py
+++ b/troutdock/admission/interface.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, fields, replace
 from enum import Enum, IntEnum
+from math import inf
 
 BackendId = int
 
@@ -66,11 +67,9 @@
     """Raises ValueError, naming the first field that is not a number or below its minimum."""
     for name, minimum in minimums.items():
         value = getattr(instance, name)
-        if (
-            isinstance(value, bool)
-            or not isinstance(value, int | float)
-            or not minimum <= value < float("inf")
-        ):
+        if type(value) is float and minimum <= value < inf:
+            continue
+        if isinstance(value, bool) or not isinstance(value, int | float) or not minimum <= value < inf:
             raise ValueError(
                 f"{type(instance).__name__}.{name}: {value!r} is not a number of at least {minimum:g}"
             )
@@ -117,7 +116,10 @@
     name: str = ""
 
     def __post_init__(self) -> None:
-        _check(self, {f.name: 0 for f in fields(self) if f.name != "name"})
+        _check(self, _PLAN_MINIMUMS)
+
+
+_PLAN_MINIMUMS: dict[str, float] = {f.name: 0 for f in fields(Plan) if f.name != "name"}
 
 
 @dataclass(frozen=True, slots=True)
--- a/troutdock/proxy/daemon.py
+++ b/troutdock/proxy/daemon.py
@@ -16,8 +16,9 @@
 import logbook
 
 from troutdock.settings.boot import Boot, load_boot
-from troutdock.settings.configuration import RejectedConfiguration, read_configuration
+from troutdock.settings.configuration import RejectedConfiguration
 from troutdock.settings.table import SettingsError
+from troutdock.proxy.config_loader import ConfigLoader, LoadedConfig
 from troutdock.proxy.registry_watch import (
     ConfigAction,
     LogMessage,
@@ -171,7 +172,7 @@
         self._last_backend_number = 0
         self._publishing_admission.instance_of = self._instance_of
         self._pool_numbers: dict[str, int] = {}  # by service
-        self._tenant_numbers: dict[str, int] = {}  # by name
+        self._config_loader = ConfigLoader(self._config_loaded, {})
         self.reader = RoutedRequestReader(self._pool_of, self._instance_of.__getitem__, random)
         memory = values["limits.memoryMb"]
         self.server = Server(
@@ -300,8 +301,7 @@
         for action in actions:
             match action:
                 case ApplyConfig(config):
-                    ok = self._configure(config.version, bytes(config.body))
-                    self._apply_actions(self.config_selector.config_applied(config, ok))
+                    self._config_loader.load(config)
                 case BecomeReady(version):
                     log.info("Ready with configuration r{}.", version)
                     self._start_accepting()
@@ -311,13 +311,17 @@
     def _tick_config_selector(self) -> None:
         self._apply_actions(self.config_selector.tick(self._loop.time()))
 
-    def _configure(self, version: int, body: bytes) -> bool:
-        """Replaces the configuration atomically; returns False, without any change, if it is invalid."""
-        configuration = read_configuration(body)
-        if isinstance(configuration, RejectedConfiguration):
-            log.error("Configuration r{} is invalid: {}", version, configuration)
-            return False
-        table = RouteTable(configuration, self._tenant_numbers)
+    def _config_loaded(self, config: Config, loaded: LoadedConfig) -> None:
+        """Replaces the configuration atomically; an invalid one changes nothing."""
+        if isinstance(loaded, RejectedConfiguration):
+            log.error("Configuration r{} is invalid: {}", config.version, loaded)
+        else:
+            self._configure(loaded)
+        ok = not isinstance(loaded, RejectedConfiguration)
+        self._apply_actions(self.config_selector.config_applied(config, ok))
+
+    def _configure(self, table: RouteTable) -> None:
+        configuration = table.configuration
         for service in configuration.services:
             self._pool_of(service)
         self.engine.reconfigure(table.settings)
@@ -325,8 +329,7 @@
         self.server.max_head = configuration.limits.header_bytes
         self.server.head_s = configuration.limits.header_ms / 1000
         self.server.idle_s = configuration.limits.idle_ms / 1000
-        log.info("Configuration r{} applied: {} routes.", version, len(configuration.routes))
-        return True
+        log.info("Configuration r{} applied: {} routes.", table.version, len(configuration.routes))
 
     def _pool_of(self, service: str) -> int:
         number = self._pool_numbers.get(service)
@@ -455,6 +458,7 @@
                 await self.server.drain()
         except TimeoutError:
             log.warning("Grace period expired: {} requests open.", self.engine.open)
+        self._config_loader.close()
         self.engine.close()
         self.quotas.close()
         await asyncio.sleep(QUOTA_HANDOVER_S)
--- a/troutdock/proxy/route_table.py
+++ b/troutdock/proxy/route_table.py
@@ -39,27 +39,35 @@
 class RouteTable:
     """One compiled version of the configuration; each version gets a new table."""
 
-    def __init__(self, configuration: Configuration, tenant_numbers: dict[str, int]) -> None:
+    def __init__(
+        self,
+        configuration: Configuration,
+        tenant_numbers: dict[str, int],
+        previous: RouteTable | None = None,
+    ) -> None:
         """Compiles a configuration.
 
         Args:
             configuration: One version.
             tenant_numbers: Tenant numbers by name, shared by all versions; new tenants are added.
+            previous: The table of an earlier version. What it has compiled from the same routes and tenants
+                is used again.
         """
         self.configuration = configuration
         self.version = configuration.version
         self.needs_key = configuration.tenants is not None
+        self._tenants = configuration.tenants or ()
+        self._tenant_numbers = tenant_numbers
         self._hosts: dict[bytes, dict[bytes, RouteMatch]] = {}
         for class_number, route in enumerate(configuration.routes):
             prefixes = self._hosts.setdefault(route.host.encode(), {})
             prefixes[route.prefix.encode()] = RouteMatch(route, class_number)
-        self._key_owners: dict[bytes, KeyOwner] = {}
-        tenants = configuration.tenants or ()
-        for plan, tenant in enumerate(tenants):
-            tenant_number = tenant_numbers.setdefault(tenant.name, len(tenant_numbers) + 1)
+        self._tenant_indexes: dict[str, int] = {}  # by API key
+        for index, tenant in enumerate(self._tenants):
+            tenant_numbers.setdefault(tenant.name, len(tenant_numbers) + 1)
             for key in tenant.keys:
-                self._key_owners[key.encode()] = KeyOwner(tenant, tenant_number, plan + 1)
-        self.settings = _settings(configuration, tenants)
+                self._tenant_indexes[key] = index
+        self.settings = _settings(configuration, previous)
 
     def find(self, host: bytes, path: bytes) -> RouteMatch | None:
         """Returns the host's route with the longest matching path prefix."""
@@ -74,36 +82,48 @@
 
     def key_owner(self, key: bytes) -> KeyOwner | None:
         """Returns the owner of an API key; None if the key is unknown."""
-        return self._key_owners.get(key)
+        try:
+            index = self._tenant_indexes.get(key.decode())
+        except UnicodeDecodeError:
+            return None
+        if index is None:
+            return None
+        tenant = self._tenants[index]
+        return KeyOwner(tenant, self._tenant_numbers[tenant.name], index + 1)
+
+
+def _request_class(route: Route) -> RequestClass:
+    return RequestClass(
+        route.target_latency_ms,
+        route.timeout_ms,
+        1 / (1 + min(route.priority, LOWEST_PRIORITY)),
+        Effect.SAFE if route.read_only else Effect.UNSAFE,
+        name=route.name,
+    )
 
 
-def _settings(configuration: Configuration, tenants: tuple[Tenant, ...]) -> Settings:
+def _plan(tenant: Tenant) -> Plan:
+    return Plan(tenant.rate, max(1.0, tenant.burst) if tenant.rate else 0.0, name=tenant.name)
+
+
+def _settings(configuration: Configuration, previous: RouteTable | None) -> Settings:
     """Returns the settings of the decision module: a class for each route, a plan for each tenant.
 
     Plan 0 has no limit.
     """
-    classes = tuple(
-        RequestClass(
-            route.target_latency_ms,
-            route.timeout_ms,
-            1 / (1 + min(route.priority, LOWEST_PRIORITY)),
-            Effect.SAFE if route.read_only else Effect.UNSAFE,
-            name=route.name,
-        )
-        for route in configuration.routes
-    )
-    plans = (
-        Plan(0, 0),
-        *(
-            Plan(tenant.rate, max(1.0, tenant.burst) if tenant.rate else 0.0, name=tenant.name)
-            for tenant in tenants
-        ),
-    )
+    known_classes: dict[Route, RequestClass] = {}
+    known_plans: dict[Tenant, Plan] = {}
+    if previous is not None:
+        earlier = previous.configuration
+        known_classes = dict(zip(earlier.routes, previous.settings.classes, strict=False))
+        known_plans = dict(zip(earlier.tenants or (), previous.settings.plans[1:], strict=True))
+    classes = tuple(known_classes.get(route) or _request_class(route) for route in configuration.routes)
+    plans = tuple(known_plans.get(tenant) or _plan(tenant) for tenant in configuration.tenants or ())
     return Settings(
         gateways=1,
         index=0,
         classes=classes or (RequestClass(1000, 1000, 1, Effect.SAFE),),
-        plans=plans,
+        plans=(Plan(0, 0), *plans),
         max_attempts=1,
         start_capacity=1,
         cold_ms=0,
--- a/troutdock/quota/ownership.py
+++ b/troutdock/quota/ownership.py
@@ -58,9 +58,14 @@
         removed = set(self.limits) - set(limits)
         first, self._has_limits = not self._has_limits, True
         self.limits = dict(limits)
+        added_by_shard: dict[int, dict[str, QuotaLimit]] = {shard: {} for shard in self._owners}
+        if not first and self._owners:
+            for name, limit in added.items():
+                if (tenants := added_by_shard.get(shard_of(name))) is not None:
+                    tenants[name] = limit
         for shard, owner in self._owners.items():
             if not first:
-                owner.add_tenants(now, {n: limit for n, limit in added.items() if shard_of(n) == shard})
+                owner.add_tenants(now, added_by_shard[shard])
             owner.drop_tenants(removed)
         return removed
 
