--- a/troutdock/http/connection.py
+++ b/troutdock/http/connection.py
@@ -7,8 +7,11 @@
     receiving a message          data_received, parser callbacks; timed_out -> 408 and close
     response owed                Exchange.respond, began, more, served, broken; then flush
     idle                         between requests; may be closed or handed over
-    closing (`closing` is true)  after the last response, an invalid request, or an abort: further data is
-                                 read and dropped
+    closing (`closing` is true)  after an invalid request or an abort, after a request with Connection: close,
+                                 and from the first response that is written while the server asks its
+                                 clients to leave: further data is read and dropped. Requests that were
+                                 complete before are answered; the last response carries Connection: close,
+                                 and the sending side is closed after it (RFC 9112, 9.6)
 
 While the server hands its clients over to a successor, complete requests are not dispatched but kept in
 `_complete_requests`, and are passed on with the bytes of an incomplete one (`pass_on`). If the successor
@@ -231,18 +234,24 @@
         self._drop_body()
         self.server.bodies.release(sum(complete.reserved_bytes for complete in self._complete_requests))
         self._complete_requests.clear()
+        self._withdraw_exchanges()
+        self._parser = None  # breaks the reference cycle
+
+    def _withdraw_exchanges(self) -> None:
+        """Withdraws the requests whose responses cannot be written any more."""
         exchanges, self._exchanges = self._exchanges, deque()
         for exchange in exchanges:
             exchange.release()
             if exchange.reply is None and exchange.call is not None:
                 self.server.engine.withdraw(exchange.call)
                 exchange.call = None
-        self._parser = None  # breaks the reference cycle
 
     def flush(self) -> None:
         """Writes the available responses in the order of their requests."""
         while self._exchanges:
             exchange = self._exchanges[0]
+            if exchange.pending_writes or exchange.reply is not None:
+                self._begin_response(exchange)
             if exchange.pending_writes is not None:
                 pending_writes, exchange.pending_writes = exchange.pending_writes, []
                 for piece in pending_writes:
@@ -258,7 +267,8 @@
             else:
                 break
             self._exchanges.popleft()
-            if not exchange.keep_alive:
+            if not exchange.keep_alive or (self.closing and not self._exchanges):
+                self._withdraw_exchanges()
                 self._shut_down()
                 return
         if not self._exchanges and not self.closing:
@@ -274,6 +284,16 @@
             self._read_paused = False
             self._transport.resume_reading()
 
+    def _begin_response(self, exchange: Exchange) -> None:
+        """Decides, before a response's header section is written, whether it is the last one."""
+        if exchange.head_written:
+            return
+        exchange.head_written = True
+        if self.server.asks_clients_to_leave:
+            self.closing = True
+        if self.closing and exchange is self._exchanges[-1]:
+            exchange.announce_close()
+
     def pass_on(self) -> TransferredConnection | None:
         """Detaches the connection for another process; None if data in this process would be lost."""
         if self.sock is None or self.closing or self._exchanges or self.has_unwritten:
@@ -334,7 +354,7 @@
         self.server.waiting.remove(self)
         self.server.idle.remove(self)
         self.server.ending.add(self)
-        if self._received or self._exchanges:
+        if self._received:
             if self._transport.can_write_eof():
                 self._transport.write_eof()
         else:
--- a/troutdock/http/exchange.py
+++ b/troutdock/http/exchange.py
@@ -16,6 +16,12 @@
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+def _add_connection_close(response: bytes) -> bytes:
+    """Returns a response with the header field; response: its header section and possibly its body."""
+    head, end, body = response.partition(b"\r\n\r\n")
+    return b"".join((head, b"\r\nConnection: close", end, body))
+
+
 class Exchange:
     """One request on a client's connection, and its response once there is one."""
 
@@ -26,6 +32,7 @@
         "chunked",
         "connection",
         "flow",
+        "head_written",
         "keep_alive",
         "pending_writes",
         "reply",
@@ -59,6 +66,7 @@
         if not arrived_ms and server.lag.significant and connection.sock is not None:
             self.arrived -= ms_since_last_data(connection.sock)  # the client's timeout runs from then on
         self.call: Call | None = None
+        self.head_written = False
         self.reply: bytes | None = None
         self.body = b""  # written after reply, if not part of it
 
@@ -146,10 +154,17 @@
             self.reply += body
         self.connection.flush()
 
+    def announce_close(self) -> None:
+        """Adds `Connection: close` to the response, whose header section has not been written yet."""
+        if not self.keep_alive:
+            return
+        self.keep_alive = False
+        if self.pending_writes:
+            self.pending_writes[0] = _add_connection_close(self.pending_writes[0])
+        elif self.reply is not None:
+            self.reply = _add_connection_close(self.reply)
+
     def _head(self, status: int, headers: tuple[tuple[bytes, bytes], ...]) -> bytes:
-        server = self.connection.server
-        if (server.availability.drains_clients and not server.handing_over) or server.nearly_full:
-            self.keep_alive = False
         lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b""))]
         lines += [b"%b: %b" % pair for pair in headers]
         if not self.keep_alive and (b"Connection", b"close") not in headers:
--- a/troutdock/http/listener.py
+++ b/troutdock/http/listener.py
@@ -261,6 +261,11 @@
         """True if slots are short: connections then close with their next response."""
         return self._used_slots > self._max_clients * CROWDED_FRACTION and self.damping.polite_closing
 
+    @property
+    def asks_clients_to_leave(self) -> bool:
+        """True if connections close after the requests that have been read."""
+        return (self.availability.drains_clients and not self.handing_over) or self.nearly_full
+
     def stream_started(self) -> None:
         """Counts a streamed response; above the limit, aborts the client that has been stalled for longest.
 
@@ -327,7 +332,7 @@
             elif late not in self.slow:
                 self.slow.add(late)  # it may take longer to read its last response
         for reading in self.slow.added_before(now - LINGER_S):
-            if reading.closing and not reading.has_unwritten:
+            if reading.closing and not reading.has_unwritten and reading.current_exchange() is None:
                 self.slow.remove(reading)
                 self.ending.add(reading)
         while (stuck := self.slow.oldest(now - WRITE_STALL_S)) is not None:
