--- a/tests/system/test_local_system.py
+++ b/tests/system/test_local_system.py
@@ -10,6 +10,8 @@
 import pytest
 from local_system import CONFIGURATION, Backend, LocalSystem, call, success, until
 
+from troutdock.rpc.messages import Instances, Silence
+
 KEY = ("Key: key", "Deadline-Ms: 4000")
 
 
@@ -173,6 +175,31 @@
     play(tmp_path, scenario)
 
 
+# guards against: a backend whose heartbeats had been missing for a minute was never used again
+def test_backend_that_was_silent_for_long_is_forgotten_and_used_again_once_it_is_announced(
+    tmp_path: Path,
+) -> None:
+    async def scenario(system: LocalSystem) -> None:
+        backend = Backend("i-1", success)
+        await start_system(system, backend)
+        ingress = system.ingresses[system.ingress_ips[0]]
+        address = system.http_address(system.ingress_ips[0])
+        assert (await call(address, "GET", "/read/", b"", *KEY, "Attempt-Id: e1"))[0] == 200
+        known = ingress.endpoints.entries["i-1"].to_instance(0.0)
+        ingress._handle_registry_message(Silence(["i-1"], []))
+        ingress._remove_expired()
+        assert "i-1" in ingress._backend_numbers  # not yet
+        ingress._silent_since["i-1"] -= 1000.0
+        ingress._remove_expired()
+        assert not ingress._backend_numbers and not ingress._silent_since
+        assert "i-1" not in ingress.endpoints.entries and not ingress.endpoints._by_address
+        assert (await call(address, "GET", "/read/", b"", *KEY, "Attempt-Id: e2"))[0] == 429
+        ingress._handle_registry_message(Instances([known]))
+        assert (await call(address, "GET", "/read/", b"", *KEY, "Attempt-Id: e3"))[0] == 200
+
+    play(tmp_path, scenario)
+
+
 def test_acknowledged_configuration_survives_loss_of_primary(tmp_path: Path) -> None:
     async def scenario(system: LocalSystem) -> None:
         assert await system.put_configuration() == 200
--- a/troutdock/endpoints/endpoint_table.py
+++ b/troutdock/endpoints/endpoint_table.py
@@ -4,6 +4,11 @@
 an instance only advances: available, draining, gone. A restarted backend has a new id. Therefore updates may
 arrive twice, late or by any route, and no instance returns to an earlier state.
 
+Silence is not a state, since a failure detector may be wrong at any time. An available instance that has been
+silent for long has expired: it is not announced any more, to nobody and on no disk, but it is not gone. Its
+next heartbeat, which any process may receive, refutes that. An instance that was draining had said that it
+would end, so its silence means that it is gone.
+
 Instances that are gone remain as tombstones for TOMBSTONE_TTL_S, and at most MAX_TOMBSTONES of them, so that
 a late update does not revive them. A tombstone may be of an instance that was never seen; it then has no
 service and no address. Times are in seconds of the owner's monotonic clock; messages contain only durations.
@@ -13,9 +18,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 
 from troutdock.rpc.messages import GONE, READY, Instance
 
+SILENT_INTERVALS = 2.5  # missed heartbeats until an instance is silent
+EXPIRY_INTERVALS = 40.0  # missed heartbeats until a silent instance has expired
 TOMBSTONE_TTL_S = 300.0  # longer than a partition or an outage from which a peer returns with old state
 MAX_TOMBSTONES = 8192  # the newest are kept: a few rollouts of all backends of the largest site
 MAX_ENDPOINTS = 100_000  # tombstones included
@@ -36,6 +44,7 @@
         last_seen_at: When it was added or its last heartbeat was reported, by any route.
         changed_at: When its state last changed.
         silent: Whether its heartbeats have stopped.
+        expired: Whether it has been silent for so long that it is not announced any more.
     """
 
     id: str
@@ -48,6 +57,7 @@
     last_seen_at: float
     changed_at: float
     silent: bool = False
+    expired: bool = False
 
     def to_instance(self, now: float) -> Instance:
         """Returns it as a message for other processes, with the warm-up time that remains."""
@@ -131,7 +141,7 @@
         return gone
 
     def _advance(self, now: float, entry: Endpoint, state: int) -> None:
-        entry.state, entry.changed_at = state, now
+        entry.state, entry.changed_at, entry.expired = state, now, False
         self.changed[entry.id] = None
         if state == GONE and (address_ids := self._by_address.get(entry.address)) is not None:
             address_ids.pop(entry.id, None)
@@ -139,29 +149,39 @@
                 del self._by_address[entry.address]
 
     def snapshot(self, now: float, all_states: bool = True) -> list[Instance]:
-        """Returns all entries as messages; without all_states, those that are gone are left out."""
+        """Returns the entries that have not expired; without all_states, those that are gone are left out."""
         return [
-            entry.to_instance(now) for entry in self.entries.values() if all_states or entry.state != GONE
+            entry.to_instance(now)
+            for entry in self.entries.values()
+            if not entry.expired and (all_states or entry.state != GONE)
         ]
 
     def record_heartbeats(self, now: float, ids: Iterable[str]) -> list[Endpoint]:
-        """Records heartbeats of these instances; returns those that were silent before."""
+        """Records heartbeats of these instances; returns those that were silent or expired before."""
         resumed = []
         for id in ids:
             entry = self.entries.get(id)
             if entry is not None:
                 entry.last_seen_at = now
-                if entry.silent:
-                    entry.silent = False
+                if entry.silent or entry.expired:
+                    if entry.expired:
+                        self.changed[id] = None
+                    entry.silent = entry.expired = False
                     resumed.append(entry)
         return resumed
 
-    def mark_silent(self, now: float, after_s: float) -> list[Endpoint]:
-        """Marks available instances as silent after after_s seconds without a heartbeat; returns them."""
+    def mark_silent(self, now: float, after_s: float, observed_since: float = -inf) -> list[Endpoint]:
+        """Marks available instances as silent after after_s seconds without a heartbeat; returns them.
+
+        Args:
+            now: Seconds of the monotonic clock.
+            after_s: Seconds without a heartbeat.
+            observed_since: Since when heartbeats would have been received; silence before does not count.
+        """
         found = [
             e
             for e in self.entries.values()
-            if not e.silent and e.state == READY and now - e.last_seen_at > after_s
+            if not e.silent and e.state == READY and now - max(e.last_seen_at, observed_since) > after_s
         ]
         for entry in found:
             entry.silent = True
@@ -178,36 +198,47 @@
         reported_state = {update.id: update.state for update in updates}
         return [entry for entry in found if entry is not None and entry.state > reported_state[entry.id]]
 
-    def expire(self, now: float, expire_after_s: float) -> list[Endpoint]:
-        """Removes old tombstones, and marks instances as gone after a long silence.
+    def expire(self, now: float, expire_after_s: float, observed_since: float = -inf) -> list[Endpoint]:
+        """Removes old tombstones and expired entries, and ends the announcement of long silent instances.
 
         Args:
             now: Seconds of the monotonic clock.
-            expire_after_s: Seconds without a heartbeat after which an instance is gone.
+            expire_after_s: Seconds without a heartbeat after which an available instance has expired, and a
+                draining one is gone.
+            observed_since: Since when heartbeats would have been received; silence before does not count.
 
         Returns:
             The entries that are gone from now on.
         """
-        expired, gone = [], []
+        ended, gone = [], []
         for entry in list(self.entries.values()):
-            if entry.state == GONE:
+            if entry.state == GONE or entry.expired:
                 if now - entry.changed_at > TOMBSTONE_TTL_S:
-                    self._remove(entry)
+                    self.remove(entry)
                 else:
                     gone.append(entry)
-            elif now - entry.last_seen_at > expire_after_s:
-                self._advance(now, entry, GONE)
-                expired.append(entry)
+            elif now - max(entry.last_seen_at, observed_since) > expire_after_s:
+                if entry.state == READY:
+                    entry.expired, entry.changed_at = True, now
+                    self.changed[entry.id] = None
+                else:
+                    self._advance(now, entry, GONE)
+                    ended.append(entry)
         if len(gone) > MAX_TOMBSTONES:
             gone.sort(key=lambda entry: entry.changed_at)
             for entry in gone[:-MAX_TOMBSTONES]:
-                self._remove(entry)
-        return expired
+                self.remove(entry)
+        return ended
 
-    def _remove(self, entry: Endpoint) -> None:
+    def remove(self, entry: Endpoint) -> None:
+        """Forgets an entry; a later update adds it again."""
         del self.entries[entry.id]
         self.changed[entry.id] = None
         if (service_ids := self._by_service.get(entry.service)) is not None:
             service_ids.pop(entry.id, None)
             if not service_ids:
                 del self._by_service[entry.service]
+        if (address_ids := self._by_address.get(entry.address)) is not None:
+            address_ids.pop(entry.id, None)
+            if not address_ids:
+                del self._by_address[entry.address]
--- a/troutdock/proxy/daemon.py
+++ b/troutdock/proxy/daemon.py
@@ -50,7 +50,7 @@
     Registries,
     Silence,
 )
-from troutdock.endpoints.endpoint_table import EndpointTable, Endpoint
+from troutdock.endpoints.endpoint_table import EXPIRY_INTERVALS, EndpointTable, Endpoint
 from troutdock.admission.proxy_admission import ProxyAdmission
 from troutdock.admission.interface import (
     Actions,
@@ -169,6 +169,7 @@
         self.endpoints = EndpointTable()
         self._backend_numbers: dict[str, int] = {}  # by instance id
         self._instance_of: dict[int, bytes] = {}
+        self._silent_since: dict[str, float] = {}  # by instance id, as the subscribed registry reports
         self._last_backend_number = 0
         self._publishing_admission.instance_of = self._instance_of
         self._pool_numbers: dict[str, int] = {}  # by service
@@ -275,11 +276,11 @@
                 self._apply_actions(self.config_selector.config_received(self._loop.time(), message))
             case Instances(entries):
                 self._update_backends(self.endpoints.merge(self._loop.time(), entries))
+                # a registry reports after its complete state which of the instances are silent
+                self._set_silent([entry.id for entry in entries if entry.id in self._silent_since], False)
             case Silence(silent, back):
-                for ids, is_silent in ((silent, True), (back, False)):
-                    for id in ids:
-                        if (number := self._backend_numbers.get(id)) is not None:
-                            self._dispatch(BackendSuspected(number, is_silent))
+                self._set_silent(silent, True)
+                self._set_silent(back, False)
             case Members():
                 self.mesh.update_members(message)
             case Registries(zones):
@@ -289,6 +290,16 @@
             case _:
                 pass
 
+    def _set_silent(self, ids: list[str], silent: bool) -> None:
+        for id in ids:
+            if (number := self._backend_numbers.get(id)) is None:
+                continue
+            if silent:
+                self._silent_since.setdefault(id, self._loop.time())
+            else:
+                self._silent_since.pop(id, None)
+            self._dispatch(BackendSuspected(number, silent))
+
     def _is_outdated(self, config: Config) -> bool:
         """Whether a configuration from a registry that is not subscribed to yet need not be buffered."""
         selector = self.config_selector
@@ -364,6 +375,7 @@
                 FleetUpdate(ListKind.CHANGES, [backend], pool=self._pool_of(entry.service)), {number: address}
             )
             if entry.state == GONE:
+                self._silent_since.pop(entry.id, None)
                 del self._backend_numbers[entry.id]
                 # open attempts still refer to it
                 self._loop.call_later(CLEANUP_INTERVAL_S, self._instance_of.pop, number, None)
@@ -400,8 +412,18 @@
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep_connections)
 
     def _remove_expired(self) -> None:
-        """Removes expired tombstones; only the registry decides when a silent instance is gone."""
-        self.endpoints.expire(self._loop.time(), inf)
+        """Removes expired tombstones and instances that have been silent for long.
+
+        The registry announces an instance again when it sends a heartbeat.
+        """
+        now = self._loop.time()
+        self.endpoints.expire(now, inf)
+        expiry_s = EXPIRY_INTERVALS * self._boot.values["heartbeatS"]
+        for id in [id for id, since in self._silent_since.items() if now - since > expiry_s]:
+            entry = self.endpoints.entries[id]
+            entry.state = GONE
+            self._update_backends([entry])
+            self.endpoints.remove(entry)
         self.endpoints.changed.clear()
         self._loop.call_later(CLEANUP_INTERVAL_S, self._remove_expired)
 
@@ -416,6 +438,7 @@
     def _resumed(self, stalled_s: float) -> None:
         """The process was stalled: unread data of its connections is outdated, and peers have closed them."""
         log.warning("Process was stalled for {:.1f} s: reopening all internal connections.", stalled_s)
+        self._silent_since = dict.fromkeys(self._silent_since, self._loop.time())
         self.config_selector.resumed(self._loop.time())
         self.registry_client.abort_connections()
         self.mesh.abort_connections()
--- a/troutdock/registry/registry.py
+++ b/troutdock/registry/registry.py
@@ -5,7 +5,10 @@
 ingresses. A receiver floods what was new to it. If a sender reports a state earlier than the known one, the
 receiver replies with the later state (anti-entropy). Heartbeats that change nothing are sent in batches of
 ids twice a second, so that all registries know which instances are silent. Silence alone does not remove a
-backend: it is sent to ingresses as a hint, which responses of the backend override.
+backend: it is sent to ingresses as a hint, which responses of the backend override. Only the time counts as
+silence in which this process was running and connected to all registries that receive heartbeats. After a
+stall, or once its view is complete again, the count begins anew. A backend that was silent for long is not
+announced any more, but its next heartbeat, at any registry, announces it again to all.
 
 *Contact.* A registry is in contact while a connected store reports that it is the active primary; a store
 reports that only while it reaches a majority of the voters. Out of contact a registry confirms nothing. It is
@@ -55,11 +58,10 @@
     Silence,
     body_digest,
 )
-from troutdock.endpoints.endpoint_table import EndpointTable
+from troutdock.endpoints.endpoint_table import EXPIRY_INTERVALS, SILENT_INTERVALS, EndpointTable
 
 HEARTBEAT_BATCH_S = 0.5  # between two Beats messages
-SILENT_INTERVALS = 2.5  # missed heartbeats until an instance is silent
-EXPIRY_INTERVALS = 40.0  # missed heartbeats until an instance is gone
+STALL_S = 1.0  # between two ticks; after this the process was stalled, and heartbeats were missed here
 CONFIRM_TIMEOUT_S = 0.7  # for the syncs here and on other machines; a client waits 1 s
 SAVE_RETRY_S = 0.3  # after a failed save
 REDIRECT_DELAY_S = 1.0  # out of contact, until backends are redirected; as long as an election
@@ -214,6 +216,10 @@
         self.dropped_acks = 0  # acknowledgements that belong to no request
         self._heartbeats: dict[str, None] = {}
         self._heartbeats_sent_at = self._started = now
+        self._ticked_at = now
+        self._observed_since = (
+            inf  # since when heartbeats at any registry are received; infinite: they are not
+        )
         self._last_number = 0
         self._pending: dict[int, _PendingRequest] = {}
         self._pending_acks: list[_PendingAck] = []
@@ -290,8 +296,12 @@
         return [*actions, Send(None, Instances(entries))]
 
     def _record_heartbeats(self, ids: Iterable[str], now: float) -> list[Action]:
-        back = [entry.id for entry in self.endpoints.record_heartbeats(now, ids)]
-        return [Send(None, Silence([], back))] if back else []
+        back = self.endpoints.record_heartbeats(now, ids)
+        if not back:
+            return []
+        # an ingress, or another registry, may have forgotten them
+        announcement = self._flood([entry.to_instance(now) for entry in back if entry.state == READY], None)
+        return [*announcement, Send(None, Silence([], [entry.id for entry in back]))]
 
     def redirect_target(self, now: float, zone: str) -> str:
         """Returns the address of the machine that a backend should call, empty if it is this one.
@@ -330,8 +340,10 @@
         self._saving, endpoints.changed = endpoints.changed, {}
         if self._save_all:
             return SaveBatch(endpoints.snapshot(now), [], True)
-        entries = [endpoints.entries[id].to_instance(now) for id in self._saving if id in endpoints.entries]
-        return SaveBatch(entries, [id for id in self._saving if id not in endpoints.entries], False)
+        known = [(id, endpoints.entries.get(id)) for id in self._saving]
+        entries = [entry.to_instance(now) for _, entry in known if entry is not None and not entry.expired]
+        deleted = [id for id, entry in known if entry is None or entry.expired]
+        return SaveBatch(entries, deleted, False)
 
     def on_saved(self, now: float, ok: bool) -> list[Action]:
         """Handles the end of a save: the batch is synced, or ok is false after an I/O failure."""
@@ -507,7 +519,7 @@
         """Returns the state of this registry for GET /system/status."""
         services: dict[str, dict[str, int]] = {}
         for entry in self.endpoints.entries.values():
-            if not entry.service:  # a tombstone of an unknown instance
+            if not entry.service or entry.expired:  # a tombstone of an unknown instance, or not announced
                 continue
             counts = services.setdefault(
                 entry.service, {"available": 0, "draining": 0, "gone": 0, "silent": 0}
@@ -661,6 +673,9 @@
     def tick(self, now: float) -> list[Action]:
         """Handles timeouts; called several times a second."""
         actions: list[Action] = []
+        if now - self._ticked_at > STALL_S:
+            self._observed_since = inf
+        self._ticked_at = now
         for number, request in list(self._pending.items()):
             if now > request.until:
                 why = "not yet replicated to enough other registries in contact"
@@ -681,21 +696,24 @@
                 actions += [
                     Send(p.connection, beats) for p in self.peers.values() if p.connection is not None
                 ]
-            silent_s = inf
-            if self._has_full_view:
-                silent_s = EXPIRY_INTERVALS * self._heartbeat_s
-                silent = self.endpoints.mark_silent(now, SILENT_INTERVALS * self._heartbeat_s)
-                if silent:
-                    actions.append(Send(None, Silence([e.id for e in silent], [])))
-            lost = self.endpoints.expire(now, silent_s)
-            if lost:
-                actions += self._flood([e.to_instance(now) for e in lost], None)
+            actions += self._judge_silence(now)
             for id in [id for id in self.heartbeat_counts if id not in self.endpoints.entries]:
                 del self.heartbeat_counts[id]
             actions += self._remove_lost_peers(now)
             actions += self._send_member_changes(now)
         return actions
 
+    def _judge_silence(self, now: float) -> list[Action]:
+        """Marks silent instances, and ends the announcement of those that have been silent for long."""
+        self._observed_since = min(self._observed_since, now) if self._has_full_view else inf
+        since, actions = self._observed_since, list[Action]()
+        silent_s, expire_s = SILENT_INTERVALS * self._heartbeat_s, EXPIRY_INTERVALS * self._heartbeat_s
+        if silent := self.endpoints.mark_silent(now, silent_s, since):
+            actions.append(Send(None, Silence([entry.id for entry in silent], [])))
+        if ended := self.endpoints.expire(now, expire_s, since):
+            actions += self._flood([entry.to_instance(now) for entry in ended], None)
+        return actions
+
     def _remove_lost_peers(self, now: float) -> list[Action]:
         """Removes registries of machines that were removed.
 
