Handover tests: the newer process runs before the message begins (two entries traced)

Cause: in the tests. The message or request began before the newer process was started, so its time ran while that started: a head has 2.6 s, a body a grace time, a request its deadline. The programs are right to refuse. Fix: both processes run before the client connects; that the older one holds the connection is now checked by its descriptors. Nothing else is asserted less.

--- a/tests/handover/test_handover.py
+++ b/tests/handover/test_handover.py
@@ -72,10 +72,11 @@
         held = Held(lambda data: b"%016x" % 1 in data)
         async with upgrade(tmp_path, held) as tier:
             await tier.start()
+            await tier.start()  # before the request, whose time would run while a slow machine starts it
             client = Client(*await asyncio.open_connection(*tier.address))
             client.writer.write(request("ledger-read"))
             await until(lambda: len(tier.node.requests) == 1)
-            await tier.start()
+            assert tier.holds_connection(0, client.writer.get_extra_info("sockname")[1])
             ending = asyncio.create_task(tier.end(0))
             await asyncio.sleep(0.2)
             assert not ending.done()
@@ -131,10 +132,11 @@
     async def test() -> None:
         async with upgrade(tmp_path) as tier:
             await tier.start()
+            await tier.start()  # before the message, whose time would run while a slow machine starts it
             client = Client(*await asyncio.open_connection(*tier.address))
             client.writer.write(begun)
             await asyncio.sleep(0.1)
-            await tier.start()
+            assert tier.holds_connection(0, client.writer.get_extra_info("sockname")[1])
             ending = asyncio.create_task(tier.end(0))
             await asyncio.sleep(0.1)
             client.writer.write(rest)
--- a/tests/support/upgrade.py
+++ b/tests/support/upgrade.py
@@ -88,6 +88,14 @@
         child.send_signal(signal.SIGTERM)
         return await asyncio.to_thread(child.wait, 20)
 
+    def holds_connection(self, number: int, client_port: int) -> bool:
+        """Returns whether a process has accepted the connection from this port on loopback."""
+        rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        local, remote = f":{self.address[1]:04X}", f":{client_port:04X}"
+        inodes = {row[9] for row in rows if row[1].endswith(local) and row[2].endswith(remote)}
+        descriptors = Path(f"/proc/{self.children[number][0].pid}/fd").iterdir()
+        return any(os.readlink(path) == f"socket:[{inode}]" for path in descriptors for inode in inodes)
+
     def kill(self) -> None:
         for child, _ in self.children:
             if child.poll() is None:
