Registry: only long responses are tracked; a heartbeat costs no look at all connections

Cause: the bound on unread responses looked at every connection for each response, also for the few bytes that answer a heartbeat. Only bodies over 64 KiB are tracked now.

--- a/troutdock/rpc/http_calls.py
+++ b/troutdock/rpc/http_calls.py
@@ -30,6 +30,7 @@
 MAX_BODY_BYTES = 64 * 1024  # default limit for one body
 MAX_DISCARDED_BYTES = 128 * 1024 * 1024  # of a rejected body, read so that the client receives the response
 IDLE_TIMEOUT_S = 30.0  # for a connection without a request in progress
+MAX_SHORT_BODY_BYTES = 64 * 1024  # longer response bodies count towards the limit on unread ones
 RESPONSE_TIMEOUT_S = 10.0  # for a client to read its response
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -107,6 +108,8 @@
 
     def can_send(self, body: bytes) -> bool:
         """Returns whether a response body fits beside those that clients have not read yet."""
+        if len(body) <= MAX_SHORT_BODY_BYTES:
+            return True
         unread = {id(sent): len(sent) for c in self.connections if (sent := c.unread_body)}
         unread[id(body)] = len(body)
         return len(unread) == 1 or sum(unread.values()) <= self.max_buffered_bytes
@@ -141,7 +144,7 @@
         self._idle_since = asyncio.get_running_loop().time()
         self._buffered_bytes = 0  # the part of the server's buffered_bytes that belongs to this connection
         self._handled_bytes = 0  # the part of that which the handler is processing
-        self._response_body = b""  # of the last response
+        self._response_body = b""  # of the last response, if it is long
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -156,7 +159,7 @@
 
     @property
     def unread_body(self) -> bytes:
-        """The body of the last response, empty once the client has read it."""
+        """The body of the last response if it is long, empty once the client has read it."""
         if self._response_body and not self._transport.get_write_buffer_size():
             self._response_body = b""
         return self._response_body
@@ -296,6 +299,6 @@
         if not keep_alive:
             lines.append(b"Connection: close")
         lines += [b"", b""]
-        self._response_body = response.body
+        self._response_body = response.body if len(response.body) > MAX_SHORT_BODY_BYTES else b""
         # the body is not copied, so several connections may share it
         self._transport.writelines([b"\r\n".join(lines), response.body])
