Registry simulation: seeded standstills of one, several and all registries

A machine that stands still for 2 to 300 s runs no timer and reads nothing; the others end their connections, it notices a moment after it goes on. Backends send heartbeats all the time; some deregister, and a late heartbeat follows. Invariants: nobody reports a backend silent whose heartbeats were answered and passed on; after the last standstill every live backend is in use at all registries and their ingresses, and none that left is. Three planted faults are found within the 24: silence judged over the own standstill, expiry taken for an end, a heartbeat that revives what left. Two checks were narrowed by trace: a heartbeat taken by a registry that froze before it passed it on is lost, so the silence hint is right; a deregistration that nobody ran to take is none.

--- a/tests/system/test_registry_simulation.py
+++ b/tests/system/test_registry_simulation.py
@@ -8,9 +8,10 @@
 
 import pytest
 from simulated_registries import SimulatedCore, Violation, run_schedule
+from standstills import StandstillCore, run_standstills
 from local_system import Backend, LocalSystem, call, success, until
 
-from troutdock.rpc.messages import GONE, InstancesAck
+from troutdock.rpc.messages import GONE, InstancesAck, Silence
 from troutdock.registry.storage import InstanceStorage
 from troutdock.registry.registry import FaultTolerance, RequestCompleted, Registry, Send
 
@@ -136,6 +137,46 @@
             run_schedule(simulation(seed, bug))
 
 
+STANDSTILL_SEEDS = int(os.environ.get("STANDSTILL_SEEDS", "24"))
+
+
+# guards against: a registry that had stood still declared all backends gone, for good, at all others
+def test_live_backends_are_in_use_after_any_series_of_standstills() -> None:
+    for seed in range(STANDSTILL_SEEDS):
+        run_standstills(StandstillCore(seed, machines=3 + seed % 3, backends=6))
+
+
+class JudgesItsOwnStandstill(Registry):
+    def _judge_silence(self, now):
+        self._observed_since = 0.0
+        return super()._judge_silence(now)
+
+
+class TakesExpiryForAnEnd(Registry):
+    def _judge_silence(self, now):
+        self._observed_since = 0.0
+        actions = super()._judge_silence(now)
+        for entry in self.endpoints.entries.values():
+            if entry.expired:
+                self.endpoints._advance(now, entry, GONE)
+        return [action for action in actions if not isinstance(action.message, Silence)]
+
+
+class RevivesByAnyHeartbeat(Registry):
+    def heartbeat(self, now, update, count):
+        entry = self.endpoints.entries.get(update.id)
+        if entry is not None and update.state < entry.state:
+            self.endpoints.remove(entry)
+        return super().heartbeat(now, update, count)
+
+
+@pytest.mark.parametrize("bug", [JudgesItsOwnStandstill, TakesExpiryForAnEnd, RevivesByAnyHeartbeat])
+def test_injected_bug_is_detected_by_standstills(bug: type[Registry]) -> None:
+    with pytest.raises(Violation):
+        for seed in range(STANDSTILL_SEEDS):
+            run_standstills(StandstillCore(seed, machines=3 + seed % 3, backends=6, make=bug))
+
+
 def test_daemons_store_acknowledged_states_on_two_disks_and_revive_no_instance(
     tmp_path: Path,
 ) -> None:
