--- a/tests/test_robustness.py
+++ b/tests/test_robustness.py
@@ -260,12 +260,18 @@
             if not together:
                 await asyncio.sleep(0.001)
                 writer.write(behind)
+            sent.set()
 
+        sent = asyncio.Event()
         async with world(script) as w:
             client = await w.client()
             for number in range(3):
+                sent.clear()
                 status, _, body = await client.ask(request(number=number))
                 assert (status, body) == (200, b"done")
+                # bytes that arrive only after the next request was sent would be taken for its response
+                await sent.wait()
+                await asyncio.sleep(0.01)
             assert w.backends[0].connections == 3  # each was closed after its response
 
     run(test())
