--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -321,9 +321,7 @@
         found = Response(0)
         while time.monotonic() < deadline:
             for ip in self.core_ips:
-                found = await call(
-                    self.control(ip), "POST", "/configuration/replace", body, timeout_s=1.0
-                )
+                found = await call(self.control(ip), "POST", "/configuration/replace", body, timeout_s=1.0)
                 self.record.write(
                     f"order {configuration['revision']} to {ip}: {found.status or found.problem} "
                     f"{found.body.decode(errors='replace')[:200]}"
