--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -364,12 +364,16 @@
     record = Record(folder / "record.txt")
 
     async def limited() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # ends the processes too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(seconds):
             return await case(record)
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
